--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,287 @@
+package core
+
+import (
+	"sort"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/flowtable"
+	"github.com/indigobarrow/indigobarrow/internal/router"
+	"github.com/indigobarrow/indigobarrow/internal/rule"
+)
+
+// Flows is the node's flow table as the core uses it.
+type Flows interface {
+	// Visit calls visit for each entry of a shard; false removes the entry.
+	Visit(shard int, visit func(flow.Key, flowtable.Entry) bool)
+	// Get returns the entry of a flow.
+	Get(key flow.Key, hash uint64) (flowtable.Entry, bool)
+}
+
+// Output is what a Core wants done.
+type Output struct {
+	// Messages are to be sent to the peers they name; losing one is allowed.
+	Messages []*apiv1.Envelope
+	// View is to be published to the traffic goroutines; nil when unchanged.
+	// When all of them use it, ViewInForce must be called with its version.
+	View        *router.View
+	ViewVersion uint64
+	// FreshUntil and ServeIsolated are for Router.SetContact.
+	FreshUntil    uint32
+	ServeIsolated bool
+	// Resolutions answer questions of the traffic goroutines.
+	Resolutions []Resolution
+	// Write is to be tried at the store; nil when there is none.
+	Write *DocumentWrite
+}
+
+// DocumentWrite is a compare-and-swap of the group's document: it holds only
+// if the stored document has the version Document.Version - 1.
+type DocumentWrite struct {
+	Document *apiv1.EpochDocument
+}
+
+// Resolution answers one question about a flow.
+type Resolution struct {
+	Key flow.Key
+	// Backend is rule.NoBackend when the keepers could not be asked in time.
+	Backend uint32
+	// Recorded is false when the answer follows the rule because no keeper is
+	// alive.
+	Recorded bool
+}
+
+// Core is the control state of one node.
+type Core struct {
+	config Config
+	self   *apiv1.Member
+	flows  Flows
+	now    uint32
+	out    Output
+
+	document      *apiv1.EpochDocument
+	configuration *apiv1.Configuration
+	settled       *rule.Set
+	pending       *rule.Set
+	phase         router.Phase
+	completed     router.Phase
+	duty          duty
+	rejoining     bool
+	// fenceVersion is the document version whose fencing must be known to a
+	// majority before a fenced member is no longer waited for.
+	fenceVersion uint64
+	// heldBack is a document that fences a member whose lease, as far as this
+	// node has confirmed it, has not run out yet.
+	heldBack *apiv1.EpochDocument
+
+	view        *router.View
+	viewVersion uint64
+	viewInForce uint64
+	viewChanged bool
+	// settledFilters and pendingFilters are the filters of displaced flows.
+	settledFilters *filterSet
+	pendingFilters *filterSet
+	filterAskedAt  uint32
+	settledKeeper  *router.Keepers
+	pendingKeeper  *router.Keepers
+
+	peers            map[string]*peer
+	lastHeartbeat    uint32
+	progressSent     *apiv1.Progress
+	aloneSince       uint32
+	membersChangedAt uint32
+	membersWanted    []string
+
+	marks       map[uint32]*markState
+	desired     []*apiv1.ServiceRule
+	desiredFrom uint64
+	// desiredCleared is the incarnation of the last cleared mark by back end.
+	desiredCleared map[uint32]uint64
+	hasDesired     bool
+	publish        publishState
+
+	records      map[flow.Key]*record
+	fingerprints map[fingerprint]int
+	replications map[uint64]*replicationPart
+	asks         map[flow.Key]*ask
+	askRequests  map[uint64]*askRequest
+	offers       map[uint64]*offer
+	offerQueue   []*offer
+	offerTokens  float64
+	offerAt      uint32
+	expiry       expiryState
+	nextID       uint64
+	loopback     []*apiv1.Envelope
+}
+
+// New makes the core of a node. The member's incarnation must be higher than
+// that of any earlier run under the same ID.
+func New(config Config, self *apiv1.Member, flows Flows) (*Core, error) {
+	if err := config.Validate(); err != nil {
+		return nil, err
+	}
+	return &Core{
+		config:       config,
+		self:         proto.CloneOf(self),
+		flows:        flows,
+		peers:        make(map[string]*peer),
+		marks:        make(map[uint32]*markState),
+		records:      make(map[flow.Key]*record),
+		fingerprints: make(map[fingerprint]int),
+		replications: make(map[uint64]*replicationPart),
+		asks:         make(map[flow.Key]*ask),
+		askRequests:  make(map[uint64]*askRequest),
+		offers:       make(map[uint64]*offer),
+		nextID:       self.GetIncarnation() << 20,
+	}, nil
+}
+
+// Tick lets time pass. It should be called every 20 to 100 milliseconds.
+func (core *Core) Tick(now uint32) {
+	core.advanceTime(now)
+	core.tickMembership()
+	core.tickHeldBack()
+	core.tickMarks()
+	core.tickAsks()
+	core.tickReplications()
+	core.tickDuty()
+	core.tickOffers()
+	core.tickFilters()
+	core.tickExpiry()
+	core.tickPhase()
+	core.tickPublish()
+}
+
+// Step handles a message of a peer. Messages of other incarnations than the
+// newest known one are ignored.
+func (core *Core) Step(now uint32, envelope *apiv1.Envelope) {
+	core.advanceTime(now)
+	if envelope.GetTo() != core.self.GetId() || !core.noteSender(envelope) {
+		return
+	}
+	from := envelope.GetFrom()
+	switch body := envelope.GetBody().(type) {
+	case *apiv1.Envelope_Heartbeat:
+		core.stepHeartbeat(from, body.Heartbeat)
+	case *apiv1.Envelope_HeartbeatReply:
+		core.stepHeartbeatReply(from, body.HeartbeatReply)
+	case *apiv1.Envelope_StateRequest:
+		core.stepStateRequest(from, body.StateRequest)
+	case *apiv1.Envelope_State:
+		core.stepState(body.State)
+	case *apiv1.Envelope_BindRequest:
+		core.stepBindRequest(from, body.BindRequest)
+	case *apiv1.Envelope_BindReply:
+		core.stepBindReply(from, body.BindReply)
+	case *apiv1.Envelope_RecordOffer:
+		core.stepRecordOffer(from, body.RecordOffer)
+	case *apiv1.Envelope_RecordWanted:
+		core.stepRecordWanted(from, body.RecordWanted)
+	case *apiv1.Envelope_RecordBatch:
+		core.stepRecordBatch(from, body.RecordBatch)
+	case *apiv1.Envelope_RecordAck:
+		core.stepRecordAck(from, body.RecordAck)
+	case *apiv1.Envelope_FilterPart:
+		core.stepFilterPart(from, body.FilterPart)
+	case *apiv1.Envelope_FilterRequest:
+		core.stepFilterRequest(from, body.FilterRequest)
+	case *apiv1.Envelope_AliveQuery:
+		core.stepAliveQuery(from, body.AliveQuery)
+	case *apiv1.Envelope_AliveReply:
+		core.stepAliveReply(from, body.AliveReply)
+	}
+	core.tickPhase()
+}
+
+// Ready returns what is to be done and forgets it.
+func (core *Core) Ready() Output {
+	core.flushAsks()
+	for len(core.loopback) > 0 {
+		queue := core.loopback
+		core.loopback = nil
+		for _, envelope := range queue {
+			core.stepLoopback(envelope)
+		}
+		core.flushAsks()
+	}
+	core.broadcastProgress()
+	core.publishView()
+	out := core.out
+	core.out = Output{}
+	return out
+}
+
+// stepLoopback handles a message of the core to itself.
+func (core *Core) stepLoopback(envelope *apiv1.Envelope) {
+	switch body := envelope.GetBody().(type) {
+	case *apiv1.Envelope_BindRequest:
+		core.stepBindRequest(core.self.GetId(), body.BindRequest)
+	case *apiv1.Envelope_BindReply:
+		core.stepBindReply(core.self.GetId(), body.BindReply)
+	}
+}
+
+// ViewInForce tells the core that every traffic goroutine uses the view of
+// this version or a later one. The duties of a phase start only then: a flow
+// opened under an older view is in the table by that time.
+func (core *Core) ViewInForce(version uint64) {
+	core.viewInForce = max(core.viewInForce, version)
+}
+
+func (core *Core) advanceTime(now uint32) {
+	core.now = max(core.now, now)
+}
+
+func (core *Core) identifier() uint64 {
+	core.nextID++
+	return core.nextID
+}
+
+// send queues a message; the caller fills the body.
+func (core *Core) send(to string, envelope *apiv1.Envelope) {
+	envelope.From = core.self.GetId()
+	envelope.To = to
+	envelope.Incarnation = core.self.GetIncarnation()
+	if to == core.self.GetId() {
+		core.loopback = append(core.loopback, envelope)
+		return
+	}
+	core.out.Messages = append(core.out.Messages, envelope)
+}
+
+// publishView puts a new view into the output when anything in it changed.
+func (core *Core) publishView() {
+	if core.settled == nil {
+		return
+	}
+	core.out.FreshUntil = core.freshUntil()
+	core.out.ServeIsolated = core.config.ServeIsolated && core.isolated()
+	if !core.viewChanged && core.view != nil {
+		return
+	}
+	view := &router.View{
+		Settled:     core.settled,
+		Pending:     core.pending,
+		Phase:       core.phase,
+		ActiveMarks: core.activeMarks(),
+		KnownMarks:  core.knownMarks(),
+		Keepers:     core.settledKeeper,
+		Filters:     core.viewFilters(),
+	}
+	core.view = view.Compile()
+	core.viewVersion++
+	core.viewChanged = false
+	core.out.View = core.view
+	core.out.ViewVersion = core.viewVersion
+}
+
+func sortedKeys[Value any](values map[string]Value) []string {
+	keys := make([]string, 0, len(values))
+	for key := range values {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/core/document.go
@@ -0,0 +1,194 @@
+package core
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/router"
+	"github.com/indigobarrow/indigobarrow/internal/rule"
+)
+
+// Document returns the newest document known, or nil. It must not be changed.
+func (core *Core) Document() *apiv1.EpochDocument { return core.document }
+
+// Configuration returns the newest configuration known, or nil. It must not be
+// changed.
+func (core *Core) Configuration() *apiv1.Configuration { return core.configuration }
+
+// ObserveDocument hands in a document that is known to be in the store. An
+// older one than the newest known is ignored, so a node never goes back.
+func (core *Core) ObserveDocument(now uint32, document *apiv1.EpochDocument) {
+	core.advanceTime(now)
+	core.acceptDocument(document, router.PhaseNone)
+}
+
+// ObserveConfiguration hands in a configuration that is known to be in the
+// store. An older one is ignored. It reports whether it was taken.
+func (core *Core) ObserveConfiguration(now uint32, configuration *apiv1.Configuration) bool {
+	core.advanceTime(now)
+	if configuration.GetRevision() <= core.configuration.GetRevision() {
+		return false
+	}
+	core.configuration = proto.CloneOf(configuration)
+	return true
+}
+
+// acceptDocument takes a newer document. The phase is the highest one heard of
+// for its pending epoch; it matters only to a node that was not there when the
+// epoch was published.
+func (core *Core) acceptDocument(document *apiv1.EpochDocument, phase router.Phase) {
+	if document.GetVersion() <= core.document.GetVersion() {
+		return
+	}
+	if core.mustHoldBack(document) {
+		core.heldBack = proto.CloneOf(document)
+		return
+	}
+	settled, err := rule.NewSet(document.GetSettled())
+	if err != nil {
+		return
+	}
+	var pending *rule.Set
+	if document.GetPending() != nil {
+		if pending, err = rule.NewSet(document.GetPending()); err != nil {
+			return
+		}
+	}
+	wasMember := core.document != nil && core.isMember()
+	if len(document.GetFenced()) > len(core.document.GetFenced()) {
+		core.fenceVersion = document.GetVersion()
+	}
+	samePending := document.GetPending().GetNumber() == core.document.GetPending().GetNumber()
+	if core.document == nil || !samePending {
+		core.enterPending(pending, phase)
+	}
+	core.document = proto.CloneOf(document)
+	core.settled = settled
+	core.pending = pending
+	core.viewChanged = true
+	core.publish = publishState{}
+	core.keepersOfDocument()
+	core.enterFilters()
+	core.meetMembers()
+	core.dropClearedMarks()
+	core.forgetSettledRecords()
+	if wasMember && !core.isMember() && !core.self.GetLeaving() {
+		core.rejoining = true
+		core.dropContact()
+	}
+}
+
+// mustHoldBack reports whether a document fences a member whose contact lease
+// this node has extended so lately that it may still hold.
+func (core *Core) mustHoldBack(document *apiv1.EpochDocument) bool {
+	for _, member := range document.GetFenced() {
+		known := core.peers[member.GetId()]
+		if known == nil || !known.hasConfirmedTo || core.fenced(member) {
+			continue
+		}
+		if known.member.GetIncarnation() > member.GetIncarnation() {
+			continue
+		}
+		if core.now-known.confirmedTo < core.fenceAfter() {
+			return true
+		}
+	}
+	return false
+}
+
+// tickHeldBack takes a held-back document once the leases have run out.
+func (core *Core) tickHeldBack() {
+	document := core.heldBack
+	if document == nil || core.mustHoldBack(document) {
+		return
+	}
+	core.heldBack = nil
+	core.acceptDocument(document, router.PhaseNone)
+}
+
+// dropContact ends the contact lease; it must be won anew as a joining node.
+func (core *Core) dropContact() {
+	for _, known := range core.peers {
+		known.hasConfirmed = false
+		known.sentAt = make(map[uint64]uint32)
+	}
+}
+
+// enterPending starts the phases of a new pending epoch, or ends them.
+func (core *Core) enterPending(pending *rule.Set, phase router.Phase) {
+	core.completed = router.PhaseNone
+	core.phase = router.PhaseNone
+	if pending != nil {
+		core.phase = max(router.PhaseLearned, phase)
+		core.completed = core.phase - 1
+	}
+	core.startDuty()
+}
+
+func (core *Core) meetMembers() {
+	for _, member := range core.members() {
+		core.Meet(member)
+	}
+}
+
+// keepersOfDocument computes who keeps records under each epoch.
+func (core *Core) keepersOfDocument() {
+	core.settledKeeper = core.keepersOf(core.document.GetSettled())
+	core.pendingKeeper = core.settledKeeper
+	if core.document.GetPending() != nil {
+		core.pendingKeeper = core.keepersOf(core.document.GetPending())
+	}
+}
+
+func (core *Core) keepersOf(epoch *apiv1.Epoch) *router.Keepers {
+	zones := make(map[string]string)
+	for _, member := range epoch.GetMembers() {
+		if !core.fenced(member) {
+			zones[member.GetId()] = member.GetZone()
+		}
+	}
+	return router.NewKeepers(zones)
+}
+
+func (core *Core) requestState(from string) {
+	request := &apiv1.StateRequest{
+		DocumentVersion:       core.document.GetVersion(),
+		ConfigurationRevision: core.configuration.GetRevision(),
+	}
+	core.send(from, &apiv1.Envelope{Body: &apiv1.Envelope_StateRequest{StateRequest: request}})
+}
+
+func (core *Core) stepStateRequest(from string, request *apiv1.StateRequest) {
+	state := &apiv1.State{Phase: uint32(core.phase)}
+	if core.document.GetVersion() > request.GetDocumentVersion() {
+		state.Document = core.document
+	}
+	if core.configuration.GetRevision() > request.GetConfigurationRevision() {
+		state.Configuration = core.configuration
+	}
+	state.Marks = core.markList()
+	members := core.members()
+	for _, id := range sortedKeys(core.peers) {
+		if members[id] == nil && core.alive(id) {
+			state.Participants = append(state.Participants, core.peers[id].member)
+		}
+	}
+	core.send(from, &apiv1.Envelope{Body: &apiv1.Envelope_State{State: state}})
+}
+
+func (core *Core) stepState(state *apiv1.State) {
+	for _, member := range state.GetParticipants() {
+		core.Meet(member)
+	}
+	if state.GetDocument() != nil {
+		phase := router.Phase(state.GetPhase())
+		if core.document != nil && core.isMember() {
+			phase = router.PhaseNone
+		}
+		core.acceptDocument(state.GetDocument(), phase)
+	}
+	if state.GetConfiguration() != nil {
+		core.ObserveConfiguration(core.now, state.GetConfiguration())
+	}
+	core.mergeMarks(state.GetMarks())
+}
--- /dev/null
+++ b/internal/core/expiry.go
@@ -0,0 +1,119 @@
+package core
+
+import (
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/flow"
+)
+
+// expiryState is about the records that have not been used for long.
+type expiryState struct {
+	scannedAt uint32
+	query     uint64
+	keys      []flow.Key
+	deadline  uint32
+	answers   map[string]bool
+}
+
+const (
+	// expiryInterval is how often, in milliseconds, a keeper looks for records
+	// of flows that may have ended.
+	expiryInterval = 10_000
+	// expiryWait is how long answers to a query are awaited.
+	expiryWait = 5_000
+	// expiryBatch bounds the flows of one query.
+	expiryBatch = 256
+)
+
+// tickExpiry asks the other nodes about records without use. A record is
+// dropped only when every participant has answered that it has not seen the
+// flow: a node that cannot answer may hold it.
+func (core *Core) tickExpiry() {
+	if core.expiry.query != 0 {
+		if core.now >= core.expiry.deadline {
+			core.expiry.query = 0
+		}
+		return
+	}
+	if core.now-core.expiry.scannedAt < expiryInterval || core.settled == nil {
+		return
+	}
+	core.expiry.scannedAt = core.now
+	keys := core.silentRecords()
+	if len(keys) == 0 {
+		return
+	}
+	core.expiry = expiryState{
+		scannedAt: core.now,
+		query:     core.identifier(),
+		keys:      keys,
+		deadline:  core.now + expiryWait,
+		answers:   make(map[string]bool),
+	}
+	query := &apiv1.AliveQuery{Query: core.expiry.query}
+	for _, key := range keys {
+		bytes := key.Bytes()
+		query.Keys = append(query.Keys, bytes[:]...)
+	}
+	core.spend(len(query.Keys))
+	for _, id := range sortedKeys(core.participants()) {
+		core.send(id, &apiv1.Envelope{Body: &apiv1.Envelope_AliveQuery{AliveQuery: query}})
+	}
+}
+
+func (core *Core) silentRecords() []flow.Key {
+	var keys []flow.Key
+	for key, kept := range core.records {
+		if entry, found := core.flows.Get(key, key.Hash()); found {
+			kept.lastSeen = max(kept.lastSeen, entry.LastSeen)
+		}
+		if core.now-kept.lastSeen > milliseconds(core.config.RecordIdleTime) && len(keys) < expiryBatch {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+func (core *Core) stepAliveQuery(from string, query *apiv1.AliveQuery) {
+	count := len(query.GetKeys()) / flow.BinarySize
+	reply := &apiv1.AliveReply{Query: query.GetQuery(), Bitmap: make([]byte, (count+7)/8)}
+	for index := range count {
+		key, err := flow.FromBytes(query.GetKeys()[index*flow.BinarySize : (index+1)*flow.BinarySize])
+		if err != nil {
+			return
+		}
+		entry, found := core.flows.Get(key, key.Hash())
+		if found && core.now-entry.LastSeen <= milliseconds(core.config.RecordIdleTime) {
+			reply.Bitmap[index/8] |= 1 << (index % 8)
+		}
+	}
+	core.send(from, &apiv1.Envelope{Body: &apiv1.Envelope_AliveReply{AliveReply: reply}})
+}
+
+func (core *Core) stepAliveReply(from string, reply *apiv1.AliveReply) {
+	if core.expiry.query == 0 || reply.GetQuery() != core.expiry.query {
+		return
+	}
+	for index, key := range core.expiry.keys {
+		alive := index/8 < len(reply.GetBitmap()) && reply.GetBitmap()[index/8]&(1<<(index%8)) != 0
+		if kept := core.records[key]; alive && kept != nil {
+			kept.lastSeen = core.now
+		}
+	}
+	core.expiry.answers[from] = true
+	for id := range core.participants() {
+		if !core.expiry.answers[id] {
+			return
+		}
+	}
+	core.dropSilentRecords()
+}
+
+func (core *Core) dropSilentRecords() {
+	for _, key := range core.expiry.keys {
+		kept := core.records[key]
+		if kept != nil && core.now-kept.lastSeen > milliseconds(core.config.RecordIdleTime) {
+			core.dropRecord(key)
+		}
+	}
+	core.expiry.query = 0
+}
--- /dev/null
+++ b/internal/core/filter.go
@@ -0,0 +1,211 @@
+package core
+
+import (
+	"encoding/binary"
+
+	"github.com/bits-and-blooms/bloom/v3"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/router"
+	"github.com/indigobarrow/indigobarrow/internal/rule"
+)
+
+const (
+	// filterBitsPerFlow and filterHashes give one false answer in about 120.
+	filterBitsPerFlow = 10
+	filterHashes      = 7
+	minimumFilterBits = 64
+	// filterRetry is after how many milliseconds a missing filter is asked
+	// for again, and how often at most a changed one is sent.
+	filterRetry = 1000
+)
+
+// filterSet holds the filters of displaced flows of one epoch, by keeper.
+type filterSet struct {
+	number uint64
+	parts  map[string]*bloom.BloomFilter
+	// dirty is set when this node's part lacks a record; sentAt is when the
+	// part was last sent.
+	dirty  bool
+	sentAt uint32
+}
+
+func newFilterSet(number uint64) *filterSet {
+	return &filterSet{number: number, parts: make(map[string]*bloom.BloomFilter), dirty: true}
+}
+
+// enterFilters brings the filter sets in line with a new document. The filters
+// collected for the pending epoch serve once it is settled.
+func (core *Core) enterFilters() {
+	settled := core.document.GetSettled().GetNumber()
+	if core.settledFilters == nil || core.settledFilters.number != settled {
+		core.settledFilters = newFilterSet(settled)
+		if core.pendingFilters != nil && core.pendingFilters.number == settled {
+			core.settledFilters = core.pendingFilters
+		}
+	}
+	if core.pending == nil {
+		core.pendingFilters = nil
+	} else if core.pendingFilters == nil || core.pendingFilters.number != core.pending.Number {
+		core.pendingFilters = newFilterSet(core.pending.Number)
+	}
+}
+
+// dirtyFilters notes that the filters lack a record. A flow on which the rules
+// differ is asked about anyway, so it does not count.
+func (core *Core) dirtyFilters(key flow.Key) {
+	if core.view != nil && core.view.Ambiguous(key, key.Hash()) {
+		return
+	}
+	for _, set := range []*filterSet{core.settledFilters, core.pendingFilters} {
+		if set != nil {
+			set.dirty = true
+		}
+	}
+}
+
+// viewFilters copies the filters of the settled epoch for a view.
+func (core *Core) viewFilters() map[string]*bloom.BloomFilter {
+	filters := make(map[string]*bloom.BloomFilter, len(core.settledFilters.parts))
+	for keeper, filter := range core.settledFilters.parts {
+		filters[keeper] = filter
+	}
+	return filters
+}
+
+// missingFilters lists the keepers of an epoch whose filter is not there.
+func (core *Core) missingFilters(set *filterSet, epoch *apiv1.Epoch) []string {
+	var missing []string
+	for _, member := range epoch.GetMembers() {
+		if !core.fenced(member) && set.parts[member.GetId()] == nil {
+			missing = append(missing, member.GetId())
+		}
+	}
+	return missing
+}
+
+// hasPendingFilters reports whether the filter of every keeper of the pending
+// epoch is there.
+func (core *Core) hasPendingFilters() bool {
+	return len(core.missingFilters(core.pendingFilters, core.document.GetPending())) == 0
+}
+
+// tickFilters builds and sends this node's filters when they have changed, and
+// asks for those that are missing.
+func (core *Core) tickFilters() {
+	if core.settled == nil {
+		return
+	}
+	core.refreshFilter(core.settledFilters, core.document.GetSettled(), core.settled)
+	if core.pending != nil && core.phase == router.PhaseFlipped {
+		core.refreshFilter(core.pendingFilters, core.document.GetPending(), core.pending)
+	}
+	if core.now-core.filterAskedAt < filterRetry {
+		return
+	}
+	core.filterAskedAt = core.now
+	core.askFilters(core.settledFilters, core.document.GetSettled())
+	if core.pending != nil && core.phase == router.PhaseFlipped {
+		core.askFilters(core.pendingFilters, core.document.GetPending())
+	}
+}
+
+func (core *Core) askFilters(set *filterSet, epoch *apiv1.Epoch) {
+	for _, keeper := range core.missingFilters(set, epoch) {
+		if keeper != core.self.GetId() {
+			request := &apiv1.FilterRequest{EpochNumber: set.number}
+			core.send(keeper, &apiv1.Envelope{Body: &apiv1.Envelope_FilterRequest{FilterRequest: request}})
+		}
+	}
+}
+
+func (core *Core) refreshFilter(set *filterSet, epoch *apiv1.Epoch, target *rule.Set) {
+	own := set.parts[core.self.GetId()]
+	if !set.dirty || !core.isMemberOf(epoch) || own != nil && core.now-set.sentAt < filterRetry {
+		return
+	}
+	set.dirty = false
+	set.sentAt = core.now
+	set.parts[core.self.GetId()] = core.buildFilter(target)
+	core.viewChanged = true
+	for _, id := range sortedKeys(core.participants()) {
+		core.sendFilter(id, set)
+	}
+}
+
+func (core *Core) isMemberOf(epoch *apiv1.Epoch) bool {
+	for _, member := range epoch.GetMembers() {
+		if member.GetId() == core.self.GetId() {
+			return member.GetIncarnation() == core.self.GetIncarnation() && !core.fenced(member)
+		}
+	}
+	return false
+}
+
+func (core *Core) buildFilter(target *rule.Set) *bloom.BloomFilter {
+	var displaced []flow.Key
+	for key, kept := range core.records {
+		if displacedFrom(target, key, kept.backend) {
+			displaced = append(displaced, key)
+		}
+	}
+	size := max(minimumFilterBits, uint(len(displaced))*filterBitsPerFlow)
+	filter := bloom.New(size, filterHashes)
+	for _, key := range displaced {
+		bytes := key.Bytes()
+		filter.Add(bytes[:])
+	}
+	return filter
+}
+
+func (core *Core) sendFilter(to string, set *filterSet) {
+	filter := set.parts[core.self.GetId()]
+	if filter == nil {
+		return
+	}
+	words := filter.BitSet().Words()
+	bits := make([]byte, 8*len(words))
+	for index, word := range words {
+		binary.LittleEndian.PutUint64(bits[8*index:], word)
+	}
+	part := &apiv1.FilterPart{
+		EpochNumber: set.number,
+		Keeper:      core.self.GetId(),
+		Hashes:      uint32(filter.K()),
+		Size:        uint32(filter.Cap()),
+		Bits:        bits,
+	}
+	core.spend(len(bits))
+	core.send(to, &apiv1.Envelope{Body: &apiv1.Envelope_FilterPart{FilterPart: part}})
+}
+
+// filterSetOf returns the set for an epoch number, or nil.
+func (core *Core) filterSetOf(number uint64) *filterSet {
+	for _, set := range []*filterSet{core.settledFilters, core.pendingFilters} {
+		if set != nil && set.number == number {
+			return set
+		}
+	}
+	return nil
+}
+
+func (core *Core) stepFilterRequest(from string, request *apiv1.FilterRequest) {
+	if set := core.filterSetOf(request.GetEpochNumber()); set != nil {
+		core.sendFilter(from, set)
+	}
+}
+
+func (core *Core) stepFilterPart(from string, part *apiv1.FilterPart) {
+	set := core.filterSetOf(part.GetEpochNumber())
+	size, words := uint(part.GetSize()), len(part.GetBits())/8
+	if set == nil || part.GetKeeper() != from || size == 0 || part.GetHashes() == 0 || uint(words)*64 < size {
+		return
+	}
+	data := make([]uint64, words)
+	for index := range data {
+		data[index] = binary.LittleEndian.Uint64(part.GetBits()[8*index:])
+	}
+	set.parts[from] = bloom.FromWithM(data, size, uint(part.GetHashes()))
+	core.viewChanged = true
+}
--- /dev/null
+++ b/internal/core/keeper.go
@@ -0,0 +1,244 @@
+package core
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/router"
+	"github.com/indigobarrow/indigobarrow/internal/rule"
+)
+
+// record is what a keeper knows of one flow.
+type record struct {
+	backend  uint32
+	lastSeen uint32
+	// tentative is set until the other keeper has confirmed the record.
+	tentative bool
+}
+
+// fingerprint is the 5-byte form of a flow in offers. Among a million kept
+// flows the chance that an unknown flow looks known is one in a million.
+type fingerprint uint64
+
+const fingerprintSize = 5
+
+func fingerprintOf(key flow.Key) fingerprint {
+	bytes := key.Bytes()
+	digest := xxhash.NewWithSeed(fingerprintSeed)
+	_, _ = digest.Write(bytes[:])
+	return fingerprint(digest.Sum64() >> (64 - 8*fingerprintSize))
+}
+
+// fingerprintSeed makes fingerprints independent of the hash that chooses.
+const fingerprintSeed = 0x6b65657065727331
+
+// replication is a bind request that waits for the other keepers.
+type replication struct {
+	from     string
+	request  uint64
+	keys     []flow.Key
+	deadline uint32
+	// waitingFor counts the keepers that have not confirmed.
+	waitingFor int
+}
+
+// replicationPart is what one other keeper is asked to confirm.
+type replicationPart struct {
+	whole   *replication
+	created []flow.Key
+}
+
+// setRecord stores a record of a flow.
+func (core *Core) setRecord(key flow.Key, backend uint32, tentative bool) {
+	if core.records[key] == nil {
+		core.fingerprints[fingerprintOf(key)]++
+	}
+	core.records[key] = &record{backend: backend, lastSeen: core.now, tentative: tentative}
+	core.dirtyFilters(key)
+}
+
+func (core *Core) dropRecord(key flow.Key) {
+	if core.records[key] == nil {
+		return
+	}
+	delete(core.records, key)
+	print := fingerprintOf(key)
+	core.fingerprints[print]--
+	if core.fingerprints[print] == 0 {
+		delete(core.fingerprints, print)
+	}
+}
+
+// forgetSettledRecords drops the records that the settled rule makes needless.
+func (core *Core) forgetSettledRecords() {
+	if core.pending != nil {
+		return
+	}
+	for key, kept := range core.records {
+		if !core.displaced(key, kept.backend) {
+			core.dropRecord(key)
+		}
+	}
+}
+
+// stepBindRequest answers for each flow the back end of its record, making
+// one from the proposal where there is none. A new record is confirmed by the
+// other keeper before the answer, so that two askers that reach different
+// keepers get the same answer.
+func (core *Core) stepBindRequest(from string, request *apiv1.BindRequest) {
+	fresh := make(map[string][]flow.Key)
+	keys := make([]flow.Key, 0, len(request.GetBindings()))
+	for _, binding := range request.GetBindings() {
+		key, err := flow.FromBytes(binding.GetKey())
+		if err != nil {
+			return
+		}
+		keys = append(keys, key)
+		if core.bindOne(key, binding.GetProposal(), request.GetReplicated(), from) {
+			other := core.otherKeeper(key)
+			fresh[other] = append(fresh[other], key)
+		}
+	}
+	whole := &replication{
+		from:     from,
+		request:  request.GetRequest(),
+		keys:     keys,
+		deadline: core.now + milliseconds(core.config.AskTimeout)/2,
+	}
+	for _, other := range sortedKeys(fresh) {
+		core.replicate(whole, other, fresh[other])
+	}
+	if whole.waitingFor == 0 {
+		core.answerBind(from, request.GetRequest(), keys, request.GetReplicated())
+	}
+}
+
+// bindOne applies one binding and reports whether it made a new record.
+func (core *Core) bindOne(key flow.Key, proposal uint32, replicated bool, from string) bool {
+	kept := core.records[key]
+	if kept == nil {
+		if entry, found := core.flows.Get(key, key.Hash()); found && proposal != rule.NoBackend {
+			proposal = entry.Backend
+		}
+	}
+	firstKeeper, _ := core.pendingKeeper.Pick(key.Hash())
+	yields := kept != nil && kept.tentative && replicated && from == firstKeeper && proposal != rule.NoBackend
+	if kept != nil && !yields {
+		return kept.tentative && !replicated
+	}
+	if proposal == rule.NoBackend {
+		return false
+	}
+	core.setRecord(key, proposal, !replicated)
+	return !replicated
+}
+
+func (core *Core) otherKeeper(key flow.Key) string {
+	first, second := core.pendingKeeper.Pick(key.Hash())
+	if first == core.self.GetId() {
+		return second
+	}
+	return first
+}
+
+func (core *Core) confirmRecords(keys []flow.Key) {
+	for _, key := range keys {
+		if kept := core.records[key]; kept != nil {
+			kept.tentative = false
+		}
+	}
+}
+
+// answerBind answers with the records; where there is none, with the entry of
+// the node's own table, which is as good.
+func (core *Core) answerBind(to string, request uint64, keys []flow.Key, replicated bool) {
+	reply := &apiv1.BindReply{Request: request, Replicated: replicated}
+	for _, key := range keys {
+		backend := uint32(rule.NoBackend)
+		if kept := core.records[key]; kept != nil {
+			kept.lastSeen = core.now
+			backend = kept.backend
+		} else if entry, found := core.flows.Get(key, key.Hash()); found {
+			backend = entry.Backend
+		}
+		reply.Backends = append(reply.Backends, backend)
+	}
+	core.send(to, &apiv1.Envelope{Body: &apiv1.Envelope_BindReply{BindReply: reply}})
+}
+
+// replicate sends new records to their other keeper. One that is not alive is
+// not waited for.
+func (core *Core) replicate(whole *replication, other string, created []flow.Key) {
+	if other == "" || other == core.self.GetId() || !core.alive(other) {
+		core.confirmRecords(created)
+		return
+	}
+	id := core.identifier()
+	request := &apiv1.BindRequest{Request: id, Replicated: true}
+	for _, key := range created {
+		bytes := key.Bytes()
+		request.Bindings = append(request.Bindings,
+			&apiv1.Binding{Key: bytes[:], Proposal: core.records[key].backend})
+	}
+	core.replications[id] = &replicationPart{whole: whole, created: created}
+	whole.waitingFor++
+	core.send(other, &apiv1.Envelope{Body: &apiv1.Envelope_BindRequest{BindRequest: request}})
+}
+
+// stepReplicated takes over what the other keeper held already.
+func (core *Core) stepReplicated(reply *apiv1.BindReply) {
+	part := core.replications[reply.GetRequest()]
+	if part == nil {
+		return
+	}
+	for index, key := range part.created {
+		if index < len(reply.GetBackends()) && reply.GetBackends()[index] != rule.NoBackend {
+			core.setRecord(key, reply.GetBackends()[index], false)
+		}
+	}
+	core.finishPart(reply.GetRequest(), part)
+}
+
+func (core *Core) finishPart(id uint64, part *replicationPart) {
+	delete(core.replications, id)
+	core.confirmRecords(part.created)
+	part.whole.waitingFor--
+	if part.whole.waitingFor == 0 {
+		core.answerBind(part.whole.from, part.whole.request, part.whole.keys, false)
+	}
+}
+
+// tickReplications answers without the other keeper when it does not confirm.
+func (core *Core) tickReplications() {
+	for id, part := range core.replications {
+		if core.now >= part.whole.deadline {
+			core.finishPart(id, part)
+		}
+	}
+}
+
+// Kept returns the number of records that this node keeps.
+func (core *Core) Kept() int { return len(core.records) }
+
+// Record returns the back end that this node keeps for a flow.
+func (core *Core) Record(key flow.Key) (uint32, bool) {
+	kept := core.records[key]
+	if kept == nil {
+		return rule.NoBackend, false
+	}
+	return kept.backend, true
+}
+
+// keepersFor returns who keeps a flow's record under a choice of keepers, self
+// included.
+func keepersFor(keepers *router.Keepers, key flow.Key) []string {
+	first, second := keepers.Pick(key.Hash())
+	var ids []string
+	for _, id := range []string{first, second} {
+		if id != "" {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/core/membership.go
@@ -0,0 +1,364 @@
+package core
+
+import (
+	"sort"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/router"
+)
+
+// peer is what a node knows of another one.
+type peer struct {
+	member *apiv1.Member
+	// lastHeard is when a message of the peer last came; heard is false
+	// before the first one.
+	lastHeard uint32
+	heard     bool
+	// confirmed is the sending time of the newest heartbeat that the peer has
+	// confirmed; hasConfirmed is false before the first one.
+	confirmed    uint32
+	hasConfirmed bool
+	sequence     uint64
+	sentAt       map[uint64]uint32
+	progress     *apiv1.Progress
+	stateAsked   uint32
+	// confirmedTo is when this node last confirmed a heartbeat of the peer;
+	// hasConfirmedTo is false before the first one.
+	confirmedTo    uint32
+	hasConfirmedTo bool
+}
+
+const sentTimesKept = 16
+
+// Meet tells the core of another node, from the settings, the platform's list
+// or the document. It is a hint: the peer counts once it answers.
+func (core *Core) Meet(member *apiv1.Member) {
+	if member.GetId() == core.self.GetId() || member.GetId() == "" {
+		return
+	}
+	known := core.peers[member.GetId()]
+	if known != nil && known.member.GetIncarnation() >= member.GetIncarnation() {
+		return
+	}
+	fresh := &peer{member: proto.CloneOf(member), sentAt: make(map[uint64]uint32)}
+	fresh.lastHeard = core.now
+	core.peers[member.GetId()] = fresh
+	core.sendHeartbeat(fresh)
+}
+
+// noteSender records that a peer was heard and reports whether its message
+// counts.
+func (core *Core) noteSender(envelope *apiv1.Envelope) bool {
+	member := envelope.GetHeartbeat().GetMember()
+	known := core.peers[envelope.GetFrom()]
+	if known == nil || envelope.GetIncarnation() > known.member.GetIncarnation() {
+		if member.GetId() != envelope.GetFrom() {
+			return false
+		}
+		core.Meet(member)
+		known = core.peers[envelope.GetFrom()]
+	}
+	if known == nil || envelope.GetIncarnation() < known.member.GetIncarnation() {
+		return false
+	}
+	if member != nil && member.GetLeaving() != known.member.GetLeaving() {
+		known.member.Leaving = member.GetLeaving()
+	}
+	known.lastHeard = core.now
+	known.heard = true
+	return true
+}
+
+func (core *Core) tickMembership() {
+	if core.lastHeartbeat != 0 && core.now-core.lastHeartbeat < milliseconds(core.config.HeartbeatInterval) {
+		return
+	}
+	core.lastHeartbeat = max(core.now, 1)
+	core.broadcastHeartbeat()
+	core.forgetPeers()
+}
+
+func (core *Core) broadcastHeartbeat() {
+	for _, id := range sortedKeys(core.peers) {
+		core.sendHeartbeat(core.peers[id])
+	}
+	core.progressSent = core.progress()
+}
+
+func (core *Core) sendHeartbeat(to *peer) {
+	to.sequence++
+	to.sentAt[to.sequence] = core.now
+	delete(to.sentAt, to.sequence-sentTimesKept)
+	heartbeat := &apiv1.Heartbeat{Sequence: to.sequence, Progress: core.progress()}
+	if !to.hasConfirmed || core.self.GetLeaving() {
+		heartbeat.Member = core.self
+	}
+	core.send(to.member.GetId(), &apiv1.Envelope{Body: &apiv1.Envelope_Heartbeat{Heartbeat: heartbeat}})
+}
+
+// broadcastProgress sends news at once instead of with the next heartbeat.
+func (core *Core) broadcastProgress() {
+	if core.progressSent != nil && !proto.Equal(core.progressSent, core.progress()) {
+		core.broadcastHeartbeat()
+	}
+}
+
+// stepHeartbeat confirms a heartbeat, unless a document under way fences the
+// sender. A sender that is not a member is told how far this node is.
+func (core *Core) stepHeartbeat(from string, heartbeat *apiv1.Heartbeat) {
+	core.noteProgress(from, heartbeat.GetProgress())
+	known := core.peers[from]
+	if core.fencedIn(core.heldBack, known.member) {
+		return
+	}
+	reply := &apiv1.HeartbeatReply{Sequence: heartbeat.GetSequence()}
+	member := core.members()[from]
+	if member == nil || member.GetIncarnation() != known.member.GetIncarnation() {
+		reply.Progress = core.progress()
+	}
+	known.confirmedTo = core.now
+	known.hasConfirmedTo = true
+	core.send(from, &apiv1.Envelope{Body: &apiv1.Envelope_HeartbeatReply{HeartbeatReply: reply}})
+	if !known.hasConfirmed && heartbeat.GetMember() != nil {
+		core.sendHeartbeat(known)
+	}
+}
+
+// stepHeartbeatReply extends the contact lease. A reply that shows the peer to
+// be ahead does not count: this node was not waited for.
+func (core *Core) stepHeartbeatReply(from string, reply *apiv1.HeartbeatReply) {
+	core.noteProgress(from, reply.GetProgress())
+	if core.behind(reply.GetProgress()) {
+		return
+	}
+	known := core.peers[from]
+	sent, found := known.sentAt[reply.GetSequence()]
+	if found && (!known.hasConfirmed || sent > known.confirmed) {
+		known.confirmed = sent
+		known.hasConfirmed = true
+	}
+}
+
+// behind reports whether a peer's progress shows state that this node lacks.
+func (core *Core) behind(progress *apiv1.Progress) bool {
+	if progress.GetDocumentVersion() > core.document.GetVersion() {
+		return true
+	}
+	return progress.GetDocumentVersion() == core.document.GetVersion() &&
+		router.Phase(progress.GetPhase()) > core.phase
+}
+
+// catchUp brings a node that nobody waited for to the phase of its peers.
+func (core *Core) catchUp(progress *apiv1.Progress) {
+	phase := router.Phase(progress.GetPhase())
+	if core.pending == nil || core.isMember() || phase <= core.phase ||
+		progress.GetPendingNumber() != core.document.GetPending().GetNumber() {
+		return
+	}
+	core.phase = phase
+	core.completed = phase - 1
+	core.startDuty()
+}
+
+// noteProgress keeps a peer's progress and asks for what it is ahead in.
+func (core *Core) noteProgress(from string, progress *apiv1.Progress) {
+	if progress == nil {
+		return
+	}
+	known := core.peers[from]
+	known.progress = progress
+	core.catchUp(progress)
+	ahead := progress.GetDocumentVersion() > core.document.GetVersion() ||
+		progress.GetConfigurationRevision() > core.configuration.GetRevision() ||
+		progress.GetMarksDigest() != core.marksDigest() ||
+		core.lacksParticipant(progress)
+	recently := known.stateAsked != 0 && core.now-known.stateAsked < milliseconds(core.config.HeartbeatInterval)/2
+	if ahead && !recently {
+		known.stateAsked = max(core.now, 1)
+		core.requestState(from)
+	}
+}
+
+func (core *Core) lacksParticipant(progress *apiv1.Progress) bool {
+	for _, id := range progress.GetParticipants() {
+		if id != core.self.GetId() && core.peers[id] == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// progress is what this node tells its peers in each heartbeat.
+func (core *Core) progress() *apiv1.Progress {
+	progress := &apiv1.Progress{
+		DocumentVersion:       core.document.GetVersion(),
+		SettledNumber:         core.document.GetSettled().GetNumber(),
+		PendingNumber:         core.document.GetPending().GetNumber(),
+		Phase:                 uint32(core.phase),
+		CompletedPhase:        uint32(core.completed),
+		ConfigurationRevision: core.configuration.GetRevision(),
+		MarksDigest:           core.marksDigest(),
+		Suspects:              core.suspects(),
+	}
+	members := core.members()
+	for _, id := range sortedKeys(core.peers) {
+		if members[id] == nil && core.alive(id) {
+			progress.Participants = append(progress.Participants, id)
+		}
+	}
+	return progress
+}
+
+// members are the nodes whose contact and progress the document asks for: the
+// members of both epochs that are not fenced.
+func (core *Core) members() map[string]*apiv1.Member {
+	members := make(map[string]*apiv1.Member)
+	for _, epoch := range []*apiv1.Epoch{core.document.GetSettled(), core.document.GetPending()} {
+		for _, member := range epoch.GetMembers() {
+			if !core.fenced(member) {
+				members[member.GetId()] = member
+			}
+		}
+	}
+	return members
+}
+
+func (core *Core) fenced(member *apiv1.Member) bool {
+	return core.fencedIn(core.document, member)
+}
+
+func (core *Core) fencedIn(document *apiv1.EpochDocument, member *apiv1.Member) bool {
+	for _, fenced := range document.GetFenced() {
+		if fenced.GetId() == member.GetId() && fenced.GetIncarnation() >= member.GetIncarnation() {
+			return true
+		}
+	}
+	return false
+}
+
+// isMember reports whether this run of the node is a member.
+func (core *Core) isMember() bool {
+	member := core.members()[core.self.GetId()]
+	return member != nil && member.GetIncarnation() == core.self.GetIncarnation()
+}
+
+// alive reports whether a peer has been heard within the time after which it
+// may be fenced.
+func (core *Core) alive(id string) bool {
+	if id == core.self.GetId() {
+		return true
+	}
+	known := core.peers[id]
+	return known != nil && known.heard && core.now-known.lastHeard <= core.fenceAfter()
+}
+
+func (core *Core) fenceAfter() uint32 {
+	return milliseconds(core.config.FencingTime + core.config.FencingMargin)
+}
+
+// suspects are the members this node has not heard for the fencing time, and
+// those that run again under a newer incarnation.
+func (core *Core) suspects() []string {
+	var suspects []string
+	for id, member := range core.members() {
+		if core.suspect(id, member) {
+			suspects = append(suspects, id)
+		}
+	}
+	sort.Strings(suspects)
+	return suspects
+}
+
+func (core *Core) suspect(id string, member *apiv1.Member) bool {
+	if id == core.self.GetId() {
+		return member.GetIncarnation() < core.self.GetIncarnation()
+	}
+	known := core.peers[id]
+	if known == nil {
+		return false
+	}
+	if known.member.GetIncarnation() > member.GetIncarnation() {
+		return true
+	}
+	return core.now-known.lastHeard > core.fenceAfter()
+}
+
+// freshUntil is the end of the contact lease: FencingTime after the sending of
+// the heartbeats that a majority of the members has confirmed.
+func (core *Core) freshUntil() uint32 {
+	var confirmed []uint32
+	members := core.members()
+	for id := range members {
+		if id == core.self.GetId() && core.isMember() {
+			confirmed = append(confirmed, core.now)
+			continue
+		}
+		if known := core.peers[id]; known != nil && known.hasConfirmed {
+			confirmed = append(confirmed, known.confirmed)
+		}
+	}
+	majority := len(members)/2 + 1
+	if len(members) == 0 || len(confirmed) < majority {
+		return 0
+	}
+	sort.Slice(confirmed, func(i, j int) bool { return confirmed[i] > confirmed[j] })
+	return confirmed[majority-1] + milliseconds(core.config.FencingTime)
+}
+
+// isolated reports whether the node has been out of contact so long that a
+// short pause of its own cannot be the cause.
+func (core *Core) isolated() bool {
+	if core.now <= core.freshUntil() {
+		core.aloneSince = 0
+		return false
+	}
+	if core.aloneSince == 0 {
+		core.aloneSince = max(core.now, 1)
+	}
+	return core.now-core.aloneSince > milliseconds(core.config.FencingTime)
+}
+
+// forgetPeers drops nodes that are neither members nor heard for a long time.
+func (core *Core) forgetPeers() {
+	members := core.members()
+	for id, known := range core.peers {
+		silent := core.now - known.lastHeard
+		if members[id] == nil && silent > milliseconds(core.config.RecoveryTime) {
+			delete(core.peers, id)
+		}
+	}
+}
+
+// liveMembers are the nodes that should be members: those alive, not stopping,
+// this one included.
+func (core *Core) liveMembers() []*apiv1.Member {
+	var live []*apiv1.Member
+	if !core.self.GetLeaving() {
+		live = append(live, core.self)
+	}
+	for id, known := range core.peers {
+		if core.alive(id) && !known.member.GetLeaving() {
+			live = append(live, known.member)
+		}
+	}
+	sort.Slice(live, func(i, j int) bool { return live[i].GetId() < live[j].GetId() })
+	return live
+}
+
+// Leave announces the planned stop of this node. It goes on forwarding; it may
+// stop when Released is true.
+func (core *Core) Leave(now uint32) {
+	core.advanceTime(now)
+	if !core.self.GetLeaving() {
+		core.self.Leaving = true
+		core.broadcastHeartbeat()
+	}
+}
+
+// Released reports whether no epoch names this node any more: what it held is
+// recorded elsewhere.
+func (core *Core) Released() bool {
+	return core.self.GetLeaving() && core.document != nil && core.members()[core.self.GetId()] == nil
+}
--- /dev/null
+++ b/internal/core/phase.go
@@ -0,0 +1,208 @@
+package core
+
+import (
+	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/flowtable"
+	"github.com/indigobarrow/indigobarrow/internal/router"
+	"github.com/indigobarrow/indigobarrow/internal/rule"
+)
+
+// duty is what a node must do before it has completed its phase.
+type duty struct {
+	// started is set once the flows to record have been listed.
+	started bool
+	// viewVersion must be in force before the duty starts.
+	viewVersion uint64
+	// done is set when nothing is left.
+	done bool
+}
+
+func (core *Core) startDuty() {
+	core.duty = duty{viewVersion: core.viewVersion + 1}
+	core.offers = make(map[uint64]*offer)
+	core.offerQueue = nil
+	core.viewChanged = true
+}
+
+// tickDuty works on what the phase asks for: nothing but records of flows is
+// needed to complete learned and active, and the filters to complete flipped.
+func (core *Core) tickDuty() {
+	if core.rejoining && core.settled != nil && core.pending == nil {
+		core.rejoining = false
+		core.offerFlows(core.displacedFlows())
+	}
+	if core.pending == nil || core.duty.done || core.viewInForce < core.duty.viewVersion {
+		return
+	}
+	if !core.duty.started {
+		core.duty.started = true
+		core.listFlows()
+	}
+	if len(core.offers) > 0 || core.phase == router.PhaseFlipped && !core.hasPendingFilters() {
+		return
+	}
+	core.duty.done = true
+	core.completed = core.phase
+}
+
+func (core *Core) listFlows() {
+	switch core.phase {
+	case router.PhaseLearned:
+		core.offerFlows(core.embryonicFlows())
+	case router.PhaseActive:
+		core.offerFlows(core.displacedFlows())
+	}
+}
+
+// heldFlow is one flow and the back end that holds it.
+type heldFlow struct {
+	key     flow.Key
+	backend uint32
+}
+
+// embryonicFlows are the flows opened here so lately that their SYN may come
+// again elsewhere, and on which the rules differ.
+func (core *Core) embryonicFlows() []heldFlow {
+	retry := milliseconds(core.config.SynRetryTime)
+	var flows []heldFlow
+	for shard := range flowtable.ShardCount {
+		core.flows.Visit(shard, func(key flow.Key, entry flowtable.Entry) bool {
+			young := core.now-entry.Opened <= retry
+			if young && core.view.Ambiguous(key, key.Hash()) {
+				flows = append(flows, heldFlow{key: key, backend: entry.Backend})
+			}
+			return true
+		})
+	}
+	return flows
+}
+
+// displacedFlows are the flows in the table and among the kept records whose
+// back end differs from the target rule.
+func (core *Core) displacedFlows() []heldFlow {
+	var flows []heldFlow
+	for shard := range flowtable.ShardCount {
+		core.flows.Visit(shard, func(key flow.Key, entry flowtable.Entry) bool {
+			if core.displaced(key, entry.Backend) {
+				flows = append(flows, heldFlow{key: key, backend: entry.Backend})
+			}
+			return true
+		})
+	}
+	for key, kept := range core.records {
+		_, inTable := core.flows.Get(key, key.Hash())
+		if !inTable && core.displaced(key, kept.backend) {
+			flows = append(flows, heldFlow{key: key, backend: kept.backend})
+		}
+	}
+	return flows
+}
+
+// displaced reports whether a flow's back end differs from the target rule:
+// the pending one when there is one, else the settled one.
+func (core *Core) displaced(key flow.Key, backend uint32) bool {
+	target := core.settled
+	if core.pending != nil {
+		target = core.pending
+	}
+	return displacedFrom(target, key, backend)
+}
+
+func displacedFrom(target *rule.Set, key flow.Key, backend uint32) bool {
+	found := target.Rule(key.Address())
+	return found != nil && found.Pick(key.Hash()) != backend && backend != rule.NoBackend
+}
+
+// participants are the nodes whose progress a phase waits for: the members,
+// and every joined node that any of them knows.
+func (core *Core) participants() map[string]bool {
+	ids := make(map[string]bool)
+	for id := range core.members() {
+		ids[id] = true
+	}
+	for id, known := range core.peers {
+		if ids[id] || core.alive(id) {
+			ids[id] = true
+			for _, joined := range known.progress.GetParticipants() {
+				ids[joined] = true
+			}
+		}
+	}
+	delete(ids, core.self.GetId())
+	return ids
+}
+
+// waitingFor lists the participants that have not completed the phase.
+func (core *Core) waitingFor(phase router.Phase) []string {
+	var waiting []string
+	participants := core.participants()
+	for _, id := range sortedKeys(participants) {
+		if !core.hasCompleted(id, phase) {
+			waiting = append(waiting, id)
+		}
+	}
+	if !core.fenceKnown() {
+		waiting = append(waiting, "fence")
+	}
+	return waiting
+}
+
+// fenceKnown reports whether a majority of the members, the fenced included,
+// has taken the document that fences. Only then has a fenced node's contact
+// lease run out for certain.
+func (core *Core) fenceKnown() bool {
+	if len(core.document.GetFenced()) == 0 {
+		return true
+	}
+	known := 0
+	if core.isMember() {
+		known++
+	}
+	members := core.members()
+	for id := range members {
+		peer := core.peers[id]
+		if peer != nil && peer.progress.GetDocumentVersion() >= core.fenceVersion {
+			known++
+		}
+	}
+	all := len(members) + len(core.document.GetFenced())
+	lost := core.lostMajority(members) || len(members)*2 <= all
+	return known*2 > all || lost && known == len(members)
+}
+
+func (core *Core) hasCompleted(id string, phase router.Phase) bool {
+	known := core.peers[id]
+	if known == nil {
+		return false
+	}
+	progress := known.progress
+	number := core.document.GetPending().GetNumber()
+	if progress.GetSettledNumber() >= number {
+		return true
+	}
+	return progress.GetPendingNumber() == number && router.Phase(progress.GetCompletedPhase()) >= phase
+}
+
+// tickPhase enters the next phase when every participant has completed this
+// one.
+func (core *Core) tickPhase() {
+	if core.pending == nil || core.phase == router.PhaseFlipped || core.completed < core.phase {
+		return
+	}
+	if len(core.waitingFor(core.phase)) > 0 {
+		return
+	}
+	core.phase++
+	core.startDuty()
+}
+
+// WaitingFor lists the nodes that a pending epoch waits for.
+func (core *Core) WaitingFor() []string {
+	if core.pending == nil {
+		return nil
+	}
+	return core.waitingFor(core.phase)
+}
+
+// Phase returns the phase of the pending epoch.
+func (core *Core) Phase() router.Phase { return core.phase }
--- /dev/null
+++ b/internal/core/publish.go
@@ -0,0 +1,287 @@
+package core
+
+import (
+	"sort"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/router"
+)
+
+// publishState is about the next write of the document.
+type publishState struct {
+	// wantedSince is when this node first wanted to write; 0 is not.
+	wantedSince uint32
+	// trying is set while a write is under way.
+	trying   bool
+	triedAt  uint32
+	failures uint32
+}
+
+const (
+	// writeTimeout is how long, in milliseconds, a write may stay unanswered
+	// before it is tried again.
+	writeTimeout = 3000
+	// maximumBackoffDoublings bounds the growth of the back-off.
+	maximumBackoffDoublings = 5
+)
+
+// SetDesired hands in the rules that the operators' configuration and the
+// policies ask for, sorted by service name. Every node computes them; the one
+// whose turn it is publishes an epoch when they differ from the settled ones.
+// The cleared map gives the incarnation of the last mark that the operators
+// have ended, by back end.
+func (core *Core) SetDesired(now uint32, revision uint64, services []*apiv1.ServiceRule, cleared map[uint32]uint64) {
+	core.advanceTime(now)
+	core.desired = services
+	core.desiredCleared = cleared
+	core.desiredFrom = revision
+	core.hasDesired = true
+}
+
+// WriteDone tells how a write ended. A write whose fate is unknown counts as
+// failed: the document is read again before the next try.
+func (core *Core) WriteDone(now uint32, written bool) {
+	core.advanceTime(now)
+	core.publish.trying = false
+	if written {
+		core.publish.failures = 0
+		return
+	}
+	core.publish.failures = min(core.publish.failures+1, maximumBackoffDoublings)
+	core.publish.wantedSince = max(core.now, 1)
+}
+
+// tickPublish writes the document when there is reason to and this node's turn
+// has come.
+func (core *Core) tickPublish() {
+	if core.publish.trying && core.now-core.publish.triedAt < writeTimeout {
+		return
+	}
+	core.publish.trying = false
+	next := core.nextDocument()
+	if next == nil {
+		core.publish.wantedSince = 0
+		return
+	}
+	if core.publish.wantedSince == 0 {
+		core.publish.wantedSince = max(core.now, 1)
+	}
+	if core.now-core.publish.wantedSince < core.publishDelay() {
+		return
+	}
+	core.publish.trying = true
+	core.publish.triedAt = core.now
+	core.out.Write = &DocumentWrite{Document: next}
+}
+
+// publishDelay is this node's back-off: its rank among the live members, and
+// doubling after failures.
+func (core *Core) publishDelay() uint32 {
+	rank := 0
+	members := core.liveMembers()
+	start := int(core.document.GetVersion()) % max(1, len(members))
+	for index, member := range members {
+		if member.GetId() == core.self.GetId() {
+			rank = (index - start + len(members)) % len(members)
+		}
+	}
+	unit := milliseconds(core.config.PublishBackoff)
+	delay := uint32(rank) * unit
+	if core.publish.failures > 0 {
+		delay += unit << core.publish.failures
+	}
+	return delay
+}
+
+// nextDocument is the document this node would write now, or nil.
+func (core *Core) nextDocument() *apiv1.EpochDocument {
+	if !core.hasDesired {
+		return nil
+	}
+	if core.document == nil {
+		return &apiv1.EpochDocument{Version: 1, Settled: core.nextEpoch(1)}
+	}
+	next := proto.CloneOf(core.document)
+	next.Version++
+	fence := core.membersToFence()
+	next.Fenced = append(next.Fenced, fence...)
+	if core.pending != nil {
+		return core.nextOfPending(next, len(fence) > 0)
+	}
+	if !core.wantsEpoch() {
+		return nil
+	}
+	next.Pending = core.nextEpoch(core.document.GetSettled().GetNumber() + 1)
+	return next
+}
+
+func (core *Core) nextOfPending(next *apiv1.EpochDocument, fences bool) *apiv1.EpochDocument {
+	complete := core.phase == router.PhaseFlipped && core.completed == router.PhaseFlipped &&
+		len(core.waitingFor(router.PhaseFlipped)) == 0
+	if complete {
+		next.Settled = next.Pending
+		next.Pending = nil
+		next.Fenced = nil
+		return next
+	}
+	if fences {
+		return next
+	}
+	return nil
+}
+
+func (core *Core) nextEpoch(number uint64) *apiv1.Epoch {
+	return &apiv1.Epoch{
+		Number:                number,
+		ConfigurationRevision: core.desiredFrom,
+		Services:              core.desiredServices(),
+		Members:               core.liveMembers(),
+		ClearedMarks:          core.clearedMarks(),
+		PublishedBy:           core.self.GetId(),
+	}
+}
+
+// wantsEpoch reports whether the desired rules or the live members differ from
+// the settled epoch. Members must have been stable for MemberDelay.
+func (core *Core) wantsEpoch() bool {
+	settled := core.document.GetSettled()
+	if core.desiredFrom < settled.GetConfigurationRevision() {
+		return false
+	}
+	if core.desiredFrom > settled.GetConfigurationRevision() || !sameServices(settled.GetServices(), core.desiredServices()) {
+		return true
+	}
+	return core.membersDiffer(settled)
+}
+
+func sameServices(left, right []*apiv1.ServiceRule) bool {
+	if len(left) != len(right) {
+		return false
+	}
+	for index := range left {
+		if !proto.Equal(left[index], right[index]) {
+			return false
+		}
+	}
+	return true
+}
+
+func (core *Core) membersDiffer(settled *apiv1.Epoch) bool {
+	live := memberNames(core.liveMembers())
+	if strings.Join(live, " ") != strings.Join(core.membersWanted, " ") {
+		core.membersWanted = live
+		core.membersChangedAt = core.now
+	}
+	if strings.Join(live, " ") == strings.Join(memberNames(settled.GetMembers()), " ") {
+		return false
+	}
+	return core.now-core.membersChangedAt >= milliseconds(core.config.MemberDelay)
+}
+
+func memberNames(members []*apiv1.Member) []string {
+	names := make([]string, 0, len(members))
+	for _, member := range members {
+		names = append(names, member.GetId()+"/"+member.GetPeerAddress())
+	}
+	sort.Strings(names)
+	return names
+}
+
+// membersToFence are the members that a majority has not heard for the fencing
+// time; after RecoveryTime without a majority, those that nobody here hears.
+func (core *Core) membersToFence() []*apiv1.Member {
+	members := core.members()
+	var fence []*apiv1.Member
+	for _, id := range sortedKeys(members) {
+		votes := core.suspicions(id, members)
+		if votes > len(members)/2 || votes > 0 && core.lostMajority(members) {
+			fence = append(fence, members[id])
+		}
+	}
+	return fence
+}
+
+// suspicions counts the members that suspect one of them. A suspected member's
+// own opinion does not count.
+func (core *Core) suspicions(id string, members map[string]*apiv1.Member) int {
+	votes := 0
+	for voter := range members {
+		if voter == core.self.GetId() && core.isMember() {
+			if core.suspect(id, members[id]) {
+				votes++
+			}
+			continue
+		}
+		known := core.peers[voter]
+		if known == nil || !core.alive(voter) || voter == id {
+			continue
+		}
+		for _, suspect := range known.progress.GetSuspects() {
+			if suspect == id {
+				votes++
+			}
+		}
+	}
+	return votes
+}
+
+// lostMajority reports whether most members have been silent for RecoveryTime.
+func (core *Core) lostMajority(members map[string]*apiv1.Member) bool {
+	if len(members) == 0 || !core.isMember() {
+		return core.aloneSince != 0 && core.now-core.aloneSince > milliseconds(core.config.RecoveryTime)
+	}
+	silent := 0
+	for id := range members {
+		known := core.peers[id]
+		if known != nil && core.now-known.lastHeard > milliseconds(core.config.RecoveryTime) {
+			silent++
+		}
+	}
+	return silent*2 >= len(members)
+}
+
+// desiredServices are the desired rules with the known marks applied: a marked
+// back end is leaving until the operators have cleared the mark.
+func (core *Core) desiredServices() []*apiv1.ServiceRule {
+	services := make([]*apiv1.ServiceRule, 0, len(core.desired))
+	for _, service := range core.desired {
+		services = append(services, core.withMarks(service))
+	}
+	return services
+}
+
+func (core *Core) withMarks(service *apiv1.ServiceRule) *apiv1.ServiceRule {
+	copied := service
+	for index, candidate := range service.GetCandidates() {
+		known := core.marks[candidate.GetBackend()]
+		if known == nil || known.mark.GetIncarnation() <= core.desiredCleared[candidate.GetBackend()] {
+			continue
+		}
+		if copied == service {
+			copied = proto.CloneOf(service)
+		}
+		copied.Candidates[index].Leaving = true
+	}
+	return copied
+}
+
+// clearedMarks are the marks that a new epoch ends: those the operators have
+// cleared, and those that the settled epoch had ended.
+func (core *Core) clearedMarks() []*apiv1.LeavingMark {
+	cleared := make(map[uint32]uint64)
+	for _, mark := range core.document.GetSettled().GetClearedMarks() {
+		cleared[mark.GetBackend()] = mark.GetIncarnation()
+	}
+	for backend, incarnation := range core.desiredCleared {
+		cleared[backend] = max(cleared[backend], incarnation)
+	}
+	marks := make([]*apiv1.LeavingMark, 0, len(cleared))
+	for backend, incarnation := range cleared {
+		marks = append(marks, &apiv1.LeavingMark{Backend: backend, Incarnation: incarnation})
+	}
+	sort.Slice(marks, func(i, j int) bool { return marks[i].GetBackend() < marks[j].GetBackend() })
+	return marks
+}
--- /dev/null
+++ b/internal/lab/baseline.go
@@ -0,0 +1,69 @@
+package lab
+
+import (
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/router"
+	"github.com/indigobarrow/indigobarrow/internal/rule"
+)
+
+// baseline decides by one of the methods this design is compared with. Each
+// node follows the newest configuration it has.
+type baseline struct {
+	algorithm Algorithm
+	node      *node
+	rules     map[flow.Address]*rule.Rule
+	table     map[flow.Key]uint32
+}
+
+func newBaseline(algorithm Algorithm, owner *node) *baseline {
+	return &baseline{
+		algorithm: algorithm,
+		node:      owner,
+		rules:     make(map[flow.Address]*rule.Rule),
+		table:     make(map[flow.Key]uint32),
+	}
+}
+
+func (baseline *baseline) configure(configuration *apiv1.Configuration) {
+	epoch := &apiv1.Epoch{Number: 1, Services: desiredRules(configuration)}
+	set, err := rule.NewSet(epoch)
+	if err != nil {
+		panic(err)
+	}
+	baseline.rules = set.Rules()
+}
+
+func (baseline *baseline) route(arrived packet) {
+	found := baseline.rules[arrived.flow.key.Address()]
+	if found == nil {
+		baseline.node.world.Result.Dropped++
+		return
+	}
+	key := arrived.flow.key
+	if backend, known := baseline.table[key]; known && baseline.algorithm == AlgorithmTable {
+		baseline.node.forward(arrived, backend)
+		return
+	}
+	backend := baseline.pick(found, arrived.flow.hash)
+	if baseline.algorithm == AlgorithmTable {
+		baseline.table[key] = backend
+	}
+	if arrived.flags&router.PacketCloses != 0 {
+		delete(baseline.table, key)
+	}
+	baseline.node.forward(arrived, backend)
+}
+
+func (baseline *baseline) pick(found *rule.Rule, hash uint64) uint32 {
+	if baseline.algorithm != AlgorithmModulo {
+		return found.Pick(hash)
+	}
+	var usable []uint32
+	for _, candidate := range found.Candidates() {
+		if candidate.Weight > 0 {
+			usable = append(usable, candidate.Backend)
+		}
+	}
+	return usable[hash%uint64(len(usable))]
+}
--- /dev/null
+++ b/internal/lab/faults.go
@@ -0,0 +1,129 @@
+package lab
+
+import (
+	"time"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+)
+
+// Nodes returns the IDs of the nodes that run, in the order of their start.
+func (world *World) Nodes() []string {
+	var ids []string
+	for _, node := range world.nodes {
+		if !node.dead {
+			ids = append(ids, node.id)
+		}
+	}
+	return ids
+}
+
+// Kill ends a node without notice. The fabric notices after its delay.
+func (world *World) Kill(id string) {
+	node := world.byID[id]
+	node.dead = true
+	world.Clock.After(world.settings.FabricDelay, func() { world.unlist(node) })
+}
+
+func (world *World) unlist(gone *node) {
+	kept := world.fabric[:0:0]
+	for _, node := range world.fabric {
+		if node != gone {
+			kept = append(kept, node)
+		}
+	}
+	world.fabric = kept
+}
+
+// Start adds a node in a zone; the fabric uses it after its delay.
+func (world *World) Start(zone string) string {
+	added := world.addNode(zone)
+	world.Clock.After(world.settings.FabricDelay, func() {
+		if !added.dead {
+			world.fabric = append(world.fabric, added)
+		}
+	})
+	return added.id
+}
+
+// StopPlanned stops a node as planned: it announces, hands over, and ends when
+// no epoch names it any more, or after the limit.
+func (world *World) StopPlanned(id string, limit time.Duration) {
+	node := world.byID[id]
+	node.core.Leave(node.now())
+	node.handle()
+	world.unlist(node)
+	deadline := world.Clock.Now() + limit
+	var wait func()
+	wait = func() {
+		if node.dead || node.core.Released() || world.Clock.Now() >= deadline {
+			node.dead = true
+			return
+		}
+		world.Clock.After(100*time.Millisecond, wait)
+	}
+	world.Clock.After(time.Second, wait)
+}
+
+// Pause stops a node's processor, as SIGSTOP does.
+func (world *World) Pause(id string) { world.byID[id].paused = true }
+
+// Resume lets a paused node go on.
+func (world *World) Resume(id string) { world.byID[id].resume() }
+
+// StoreOutage starts or ends an outage of the store.
+func (world *World) StoreOutage(down bool) {
+	world.store.down = down
+	if !down {
+		world.notify()
+	}
+}
+
+// CutZone cuts a zone off from the others, or heals the cut.
+func (world *World) CutZone(zone string, off bool) { world.cuts[zone] = off }
+
+// Drain makes a back end leave, through the store.
+func (world *World) Drain(serviceIndex, place int) {
+	target := world.services[serviceIndex].backends[place]
+	target.leavingAt = world.Clock.Now()
+	world.change(func(configuration *apiv1.Configuration) {
+		configuration.Services[serviceIndex].Backends[place].Leaving = true
+	})
+}
+
+// DrainByMark makes a back end leave through one node, without the store.
+func (world *World) DrainByMark(serviceIndex, place int, id string) {
+	target := world.services[serviceIndex].backends[place]
+	target.leavingAt = world.Clock.Now()
+	node := world.byID[id]
+	node.core.Mark(node.now(), target.id, "drained by an operator")
+	node.handle()
+}
+
+// Undrain ends a drain.
+func (world *World) Undrain(serviceIndex, place int) {
+	target := world.services[serviceIndex].backends[place]
+	target.leavingAt = 0
+	incarnation := uint64(0)
+	for _, node := range world.nodes {
+		for _, mark := range node.core.Marks() {
+			if mark.GetBackend() == target.id {
+				incarnation = max(incarnation, mark.GetIncarnation())
+			}
+		}
+	}
+	world.change(func(configuration *apiv1.Configuration) {
+		changed := configuration.Services[serviceIndex].Backends[place]
+		changed.Leaving = false
+		changed.ClearedMark = max(changed.GetClearedMark(), incarnation)
+	})
+}
+
+// Reweigh sets a back end's weight, 1 to 1000.
+func (world *World) Reweigh(serviceIndex, place int, weight uint32) {
+	world.change(func(configuration *apiv1.Configuration) {
+		configuration.Services[serviceIndex].Backends[place].Slots = weight
+	})
+}
+
+// Open returns the number of open flows.
+func (world *World) Open() int { return len(world.open) }
--- /dev/null
+++ b/internal/lab/node.go
@@ -0,0 +1,275 @@
+package lab
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/core"
+	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/flowtable"
+	"github.com/indigobarrow/indigobarrow/internal/router"
+	"github.com/indigobarrow/indigobarrow/internal/rule"
+)
+
+// node is one balancer of the model: the real core and router, with modelled
+// sockets.
+type node struct {
+	world  *World
+	id     string
+	zone   string
+	core   *core.Core
+	router *router.Router
+	dead   bool
+	paused bool
+	// inbox holds what arrived while the node was paused; traffic comes first,
+	// as the traffic goroutines may run before the control goroutine.
+	pausedPackets  []func()
+	pausedMessages []func()
+	parked         map[flow.Key][]packet
+	parkedCount    int
+	baseline       *baseline
+	controlBytes   uint64
+	bytesByKind    map[string]uint64
+	startedAt      time.Duration
+	acceptedAt     map[uint64]time.Duration
+}
+
+// parkedLimit bounds the packets that wait for an answer of the keepers.
+const parkedLimit = 2048
+
+// envelopeOverhead approximates the bytes that framing and the network add to
+// a message between nodes.
+const envelopeOverhead = 24
+
+func (world *World) addNode(zone string) *node {
+	world.nextNode++
+	id := fmt.Sprintf("%s-%d", zone, world.nextNode)
+	table := flowtable.New(world.settings.FlowCapacity)
+	added := &node{
+		world:       world,
+		id:          id,
+		zone:        zone,
+		router:      router.New(table),
+		parked:      make(map[flow.Key][]packet),
+		bytesByKind: make(map[string]uint64),
+		startedAt:   world.Clock.Now(),
+		acceptedAt:  make(map[uint64]time.Duration),
+	}
+	member := &apiv1.Member{Id: id, Zone: zone, PeerAddress: id, Incarnation: uint64(world.Clock.Milliseconds()) + 1}
+	control, err := core.New(world.settings.Core, member, table)
+	if err != nil {
+		panic(err)
+	}
+	added.core = control
+	added.baseline = newBaseline(world.settings.Algorithm, added)
+	world.nodes = append(world.nodes, added)
+	world.byID[id] = added
+	added.meetOthers()
+	added.readStore()
+	added.tick()
+	return added
+}
+
+func (node *node) running() bool { return !node.dead && !node.paused }
+
+// meetOthers stands for the seeds and the platform's machine list.
+func (node *node) meetOthers() {
+	for _, other := range node.world.nodes {
+		if other != node && !other.dead {
+			node.core.Meet(&apiv1.Member{Id: other.id, Zone: other.zone, PeerAddress: other.id, Incarnation: 1})
+		}
+	}
+}
+
+func (node *node) tick() {
+	if node.dead {
+		return
+	}
+	if !node.paused {
+		node.core.Tick(node.now())
+		node.handle()
+	}
+	node.world.Clock.After(node.world.settings.TickInterval, node.tick)
+}
+
+func (node *node) now() uint32 { return node.world.Clock.Milliseconds() }
+
+// readStore reads both values after the store's delay.
+func (node *node) readStore() {
+	world := node.world
+	world.Clock.After(2*world.settings.Store.Delay, func() {
+		if world.store.down || !node.running() {
+			return
+		}
+		if world.store.document != nil {
+			node.core.ObserveDocument(node.now(), world.store.document)
+		}
+		node.core.ObserveConfiguration(node.now(), world.store.configuration)
+		node.handle()
+	})
+}
+
+// handle carries out what the core wants done.
+func (node *node) handle() {
+	if configuration := node.core.Configuration(); configuration != nil {
+		revision := configuration.GetRevision()
+		if _, seen := node.acceptedAt[revision]; !seen {
+			node.acceptedAt[revision] = node.world.Clock.Now()
+			node.core.SetDesired(node.now(), revision, desiredRules(configuration), clearedMarks(configuration))
+			node.markLeaving(configuration)
+			node.baseline.configure(configuration)
+		}
+	}
+	out := node.core.Ready()
+	if out.View != nil {
+		node.router.SetView(out.View)
+		node.core.ViewInForce(out.ViewVersion)
+	}
+	node.router.SetContact(out.FreshUntil, out.ServeIsolated)
+	for _, message := range out.Messages {
+		node.world.deliver(node, message)
+	}
+	for _, resolution := range out.Resolutions {
+		node.resolve(resolution)
+	}
+	if out.Write != nil {
+		node.world.store.write(out.Write.Document, func(written bool) {
+			if !node.running() {
+				return
+			}
+			node.core.WriteDone(node.now(), written)
+			node.readStore()
+		})
+	}
+}
+
+// markLeaving spreads the drains of a configuration as marks, which is faster
+// than an epoch.
+func (node *node) markLeaving(configuration *apiv1.Configuration) {
+	for _, service := range configuration.GetServices() {
+		for _, backend := range service.GetBackends() {
+			if backend.GetLeaving() {
+				node.core.Mark(node.now(), backend.GetId(), "drained by an operator")
+			}
+		}
+	}
+}
+
+// deliver sends a message between nodes, with delay, loss, duplication and
+// cuts.
+func (world *World) deliver(from *node, message *apiv1.Envelope) {
+	to := world.byID[message.GetTo()]
+	size := uint64(proto.Size(message) + envelopeOverhead)
+	from.controlBytes += size
+	from.bytesByKind[kindOf(message)] += size
+	if to == nil || world.cut(from.zone, to.zone) || world.Clock.Random.Float64() < world.settings.Network.Loss {
+		return
+	}
+	copies := 1
+	if world.Clock.Random.Float64() < world.settings.Network.Duplicate {
+		copies = 2
+	}
+	for range copies {
+		copied := proto.CloneOf(message)
+		world.Clock.After(world.delay(from.zone, to.zone), func() { to.receive(copied) })
+	}
+}
+
+func kindOf(message *apiv1.Envelope) string {
+	field := message.ProtoReflect().WhichOneof(message.ProtoReflect().Descriptor().Oneofs().Get(0))
+	if field == nil {
+		return "none"
+	}
+	return string(field.Name())
+}
+
+func (node *node) receive(message *apiv1.Envelope) {
+	if node.dead {
+		return
+	}
+	if node.paused {
+		node.pausedMessages = append(node.pausedMessages, func() { node.receive(message) })
+		return
+	}
+	node.core.Step(node.now(), message)
+	node.handle()
+}
+
+// route handles one packet as the traffic goroutines do.
+func (node *node) route(arrived packet) {
+	if node.dead {
+		return
+	}
+	if node.paused {
+		node.pausedPackets = append(node.pausedPackets, func() { node.route(arrived) })
+		return
+	}
+	if node.world.settings.Algorithm != AlgorithmEpochs {
+		node.baseline.route(arrived)
+		return
+	}
+	verdict := node.router.Decide(node.now(), arrived.flow.key, arrived.flow.hash, arrived.flags)
+	node.world.Result.Paths[verdict.Path]++
+	switch verdict.Action {
+	case router.ActionForward:
+		node.forward(arrived, verdict.Backend)
+	case router.ActionAsk:
+		node.park(arrived, verdict)
+	case router.ActionRefuse:
+		node.world.refused(arrived)
+	case router.ActionDrop:
+		node.world.Result.Dropped++
+	}
+}
+
+func (node *node) forward(arrived packet, backend uint32) {
+	world := node.world
+	target := world.backends[backend]
+	world.Clock.After(world.delay(node.zone, target.zone), func() { world.arrive(target, arrived) })
+}
+
+func (node *node) park(arrived packet, verdict router.Verdict) {
+	if node.parkedCount >= parkedLimit {
+		node.world.Result.Dropped++
+		return
+	}
+	node.parkedCount++
+	key := arrived.flow.key
+	node.parked[key] = append(node.parked[key], arrived)
+	node.core.Ask(node.now(), key, verdict.Proposal, verdict.Bind)
+	node.handle()
+}
+
+func (node *node) resolve(resolution core.Resolution) {
+	waiting := node.parked[resolution.Key]
+	delete(node.parked, resolution.Key)
+	node.parkedCount -= len(waiting)
+	for _, arrived := range waiting {
+		if resolution.Backend == rule.NoBackend {
+			node.world.Result.Paths[router.PathDroppedKeepers]++
+			node.world.Result.Dropped++
+			continue
+		}
+		hash := arrived.flow.hash
+		if _, found := node.router.Table().Get(resolution.Key, hash); !found {
+			node.router.Learn(node.now(), resolution.Key, hash, resolution.Backend, arrived.flags)
+		}
+		node.forward(arrived, resolution.Backend)
+	}
+}
+
+// resume lets a paused node go on, traffic first.
+func (node *node) resume() {
+	node.paused = false
+	packets, messages := node.pausedPackets, node.pausedMessages
+	node.pausedPackets, node.pausedMessages = nil, nil
+	for _, action := range packets {
+		action()
+	}
+	for _, action := range messages {
+		action()
+	}
+}
--- /dev/null
+++ b/internal/lab/store.go
@@ -0,0 +1,67 @@
+package lab
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+)
+
+// store is the model of the platform's key-value service: one document and one
+// configuration, each under compare-and-swap.
+type store struct {
+	world         *World
+	document      *apiv1.EpochDocument
+	configuration *apiv1.Configuration
+	// Down is set during an outage.
+	down bool
+	// writes and conflicts count compare-and-swaps.
+	writes, conflicts int
+	// slow is added to every answer.
+	slow time.Duration
+}
+
+// write tries a compare-and-swap of the document. The answer may be lost after
+// the write took effect; done is then called with false.
+func (store *store) write(document *apiv1.EpochDocument, done func(bool)) {
+	world := store.world
+	world.Clock.After(world.settings.Store.Delay+store.slow, func() {
+		if store.down {
+			world.Clock.After(time.Second, func() { done(false) })
+			return
+		}
+		held := document.GetVersion() == store.document.GetVersion()+1
+		if held {
+			store.writes++
+			store.document = proto.CloneOf(document)
+			world.notify()
+		} else {
+			store.conflicts++
+		}
+		if world.Clock.Random.Float64() < world.settings.Store.LostAnswers {
+			held = false
+		}
+		world.Clock.After(world.settings.Store.Delay, func() { done(held) })
+	})
+}
+
+// notify tells the watchers: two nodes of each zone watch, the others learn
+// from them.
+func (world *World) notify() {
+	world.Clock.After(world.settings.Store.WatchDelay, func() {
+		if world.store.down {
+			return
+		}
+		watchers := make(map[string]int)
+		for _, node := range world.nodes {
+			if !node.running() || watchers[node.zone] >= watchersPerZone {
+				continue
+			}
+			watchers[node.zone]++
+			node.readStore()
+		}
+	})
+}
+
+const watchersPerZone = 2
--- /dev/null
+++ b/internal/router/view.go
@@ -0,0 +1,206 @@
+package router
+
+import (
+	"github.com/bits-and-blooms/bloom/v3"
+
+	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/rule"
+)
+
+// Phase is how far a node is with the pending epoch. Two nodes are never more
+// than one phase apart; package core explains why that is enough.
+type Phase uint32
+
+const (
+	// PhaseNone: nothing is pending; the settled rule is the only one.
+	PhaseNone Phase = 0
+	// PhaseLearned: the pending epoch is known. New flows still follow the
+	// settled rule, but flows on which the two rules differ are bound.
+	PhaseLearned Phase = 1
+	// PhaseActive: new flows follow the pending rule, bound where they differ.
+	PhaseActive Phase = 2
+	// PhaseFlipped: flows that no record names follow the pending rule.
+	PhaseFlipped Phase = 3
+)
+
+// String names the phase for operators.
+func (phase Phase) String() string {
+	switch phase {
+	case PhaseNone:
+		return "none"
+	case PhaseLearned:
+		return "learned"
+	case PhaseActive:
+		return "active"
+	case PhaseFlipped:
+		return "flipped"
+	}
+	return "unknown"
+}
+
+// View is what the traffic goroutines know of the agreed state. The control
+// goroutine replaces it as a whole; it is never changed.
+type View struct {
+	Settled *rule.Set
+	Pending *rule.Set
+	Phase   Phase
+	// ActiveMarks are the back ends that new flows avoid already.
+	ActiveMarks map[uint32]bool
+	// KnownMarks are all marked back ends.
+	KnownMarks map[uint32]bool
+	// Keepers and Filters tell which flows may be displaced.
+	Keepers *Keepers
+	Filters map[string]*bloom.BloomFilter
+
+	services map[flow.Address]*serviceView
+}
+
+// serviceView holds the rules that matter for one service, ready to use.
+type serviceView struct {
+	// fallback is the rule for a flow that no record names.
+	fallback *rule.Rule
+	// proposal is the rule for a new flow; nil refuses new flows.
+	proposal *rule.Rule
+	// others are the further rules that nodes at hand may follow. A flow on
+	// which any of them differs from the fallback is ambiguous.
+	others []*rule.Rule
+	// unopened is set while a new service is not in force yet.
+	unopened bool
+}
+
+// Compile prepares the view for use; it is called once, before publication.
+func (view *View) Compile() *View {
+	view.services = make(map[flow.Address]*serviceView)
+	for address := range view.Settled.Rules() {
+		view.services[address] = view.compileService(address)
+	}
+	for address := range view.Pending.Rules() {
+		view.services[address] = view.compileService(address)
+	}
+	return view
+}
+
+func (view *View) compileService(address flow.Address) *serviceView {
+	settled, pending := view.Settled.Rule(address), view.Pending.Rule(address)
+	if view.Pending == nil {
+		pending = settled
+	}
+	service := &serviceView{fallback: settled, proposal: settled}
+	if settled == nil {
+		service.fallback, service.proposal = pending, pending
+		service.unopened = view.Phase < PhaseActive
+	}
+	if view.Phase >= PhaseActive {
+		service.proposal = pending
+	}
+	if view.Phase >= PhaseFlipped && pending != nil {
+		service.fallback = pending
+	}
+	if service.proposal != nil {
+		service.proposal = service.proposal.Without(view.ActiveMarks)
+	}
+	for _, candidate := range []*rule.Rule{settled, pending} {
+		if candidate != nil {
+			service.addOther(candidate)
+			service.addOther(candidate.Without(view.KnownMarks))
+		}
+	}
+	service.addOther(service.proposal)
+	return service
+}
+
+func (service *serviceView) addOther(candidate *rule.Rule) {
+	if candidate == nil || candidate == service.fallback {
+		return
+	}
+	for _, other := range service.others {
+		if other == candidate {
+			return
+		}
+	}
+	service.others = append(service.others, candidate)
+}
+
+// choice is what the rules of a view say about one flow.
+type choice struct {
+	fallback  uint32
+	proposal  uint32
+	ambiguous bool
+}
+
+func (service *serviceView) choose(hash uint64) choice {
+	result := choice{fallback: service.fallback.Pick(hash)}
+	for _, other := range service.others {
+		if other.Pick(hash) != result.fallback {
+			result.ambiguous = true
+			break
+		}
+	}
+	result.proposal = result.fallback
+	if service.proposal == nil {
+		result.proposal = rule.NoBackend
+	} else if service.proposal != service.fallback && result.ambiguous {
+		result.proposal = service.proposal.Pick(hash)
+	}
+	return result
+}
+
+// Displaced reports whether a back end that holds a flow differs from what the
+// rules say by themselves, which is when the flow needs a record: the target
+// rule is the pending one when there is one, else the settled one.
+func (view *View) Displaced(key flow.Key, hash uint64, backend uint32) bool {
+	target := view.Settled.Rule(key.Address())
+	if view.Pending != nil {
+		target = view.Pending.Rule(key.Address())
+	}
+	return target == nil || target.Pick(hash) != backend
+}
+
+// Ambiguous reports whether the rules of the view differ on a flow.
+func (view *View) Ambiguous(key flow.Key, hash uint64) bool {
+	service := view.services[key.Address()]
+	return service != nil && service.choose(hash).ambiguous
+}
+
+// maybeDisplaced reports whether a flow may have a record although the rules
+// agree on it. Without the filter of either keeper the answer is yes.
+func (view *View) maybeDisplaced(key flow.Key, hash uint64) bool {
+	if view.Keepers == nil || view.Keepers.Len() == 0 {
+		return false
+	}
+	first, second := view.Keepers.Pick(hash)
+	filter := view.Filters[first]
+	if filter == nil {
+		filter = view.Filters[second]
+	}
+	if filter == nil {
+		return true
+	}
+	bytes := key.Bytes()
+	return filter.Test(bytes[:])
+}
+
+// Service returns the name of the service at an address, or "".
+func (view *View) Service(address flow.Address) string {
+	service := view.services[address]
+	if service == nil || service.fallback == nil {
+		return ""
+	}
+	return service.fallback.Service
+}
+
+// Fallback returns the rule for a flow that no record names, or nil.
+func (view *View) Fallback(address flow.Address) *rule.Rule {
+	if service := view.services[address]; service != nil {
+		return service.fallback
+	}
+	return nil
+}
+
+// Proposal returns the rule for new flows at an address, or nil.
+func (view *View) Proposal(address flow.Address) *rule.Rule {
+	if service := view.services[address]; service != nil {
+		return service.proposal
+	}
+	return nil
+}
