Cut control traffic of a change and keep cut-off nodes from publishing

Cause 1: both sides of a cut published epochs naming only themselves (document version 170 in 30 s). Only a node in contact with a majority publishes now. Cause 2: a drain cost 12.5 KB in its first second at 28,000 flows: state sent whole by every peer, replies to news, fingerprints of flows that the keepers already had, and flows first seen mid-way counted as newly opened. Now epochs the asker has are left out, news needs no reply, digests of buckets come before fingerprints, and only flows whose SYN was seen here count as new.

--- a/cmd/indigobarrow/lab.go
+++ b/cmd/indigobarrow/lab.go
@@ -135,7 +135,7 @@
 
 func printRows(rows []lab.Row) error {
 	printed := newTable("SCENARIO", "USER", "METHOD", "SEED", "FLOWS", "BROKEN", "CAUSES", "2ND", "REFUSED", "MAX/MEAN", "CV",
-		"LEAVING P99", "IN FORCE P99", "B/S MEAN", "B/S PEAK", "VIOLATION")
+		"LEAVING P99", "IN FORCE P99", "B/S MEAN", "B/S 10S", "B/S 1S", "VIOLATION")
 	for _, row := range rows {
 		causes := make([]string, 0, len(row.Broken))
 		for cause, count := range row.Broken {
@@ -146,7 +146,7 @@
 			fmt.Sprint(row.TotalBroken), strings.Join(causes, " "), fmt.Sprint(row.SecondBackend), fmt.Sprint(row.Refused),
 			fmt.Sprintf("%.3f", row.MaximumOverMean), fmt.Sprintf("%.3f", row.Variation),
 			row.LeavingP99.Round(time.Millisecond).String(), row.InForceP99.Round(time.Millisecond).String(),
-			fmt.Sprintf("%.0f", row.ControlMean), fmt.Sprintf("%.0f", row.ControlPeak), row.Violation)
+			fmt.Sprintf("%.0f", row.ControlMean), fmt.Sprintf("%.0f", row.ControlPeak), fmt.Sprintf("%.0f", row.ControlSecond), row.Violation)
 	}
 	return printed.flush()
 }
--- a/internal/core/ask.go
+++ b/internal/core/ask.go
@@ -112,12 +112,12 @@
 	}
 	sent := &askRequest{deadline: core.now + milliseconds(core.config.AskTimeout)}
 	for _, question := range questions {
-		bytes := question.key.Bytes()
-		binding := &apiv1.Binding{Key: bytes[:]}
+		proposal := uint32(rule.NoBackend)
 		if question.steps[0].bind {
-			binding.Proposal = question.proposal
+			proposal = question.proposal
 		}
-		request.Bindings = append(request.Bindings, binding)
+		request.Keys = appendKey(request.Keys, question.key)
+		request.Proposals = append(request.Proposals, proposal)
 		sent.keys = append(sent.keys, question.key)
 	}
 	core.askRequests[request.GetRequest()] = sent
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -97,7 +97,7 @@
 		AskTimeout:           60 * time.Millisecond,
 		AskDeadline:          400 * time.Millisecond,
 		MaximumAsks:          4096,
-		RecordBytesPerSecond: 4096,
+		RecordBytesPerSecond: 2048,
 		OfferSize:            200,
 		RecordIdleTime:       15 * time.Minute,
 		ServeIsolated:        true,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -89,6 +89,7 @@
 
 	peers            map[string]*peer
 	lastHeartbeat    uint32
+	stateAskedAt     uint32
 	progressSent     *apiv1.Progress
 	aloneSince       uint32
 	membersChangedAt uint32
@@ -111,9 +112,11 @@
 	offerQueue   []*offer
 	offerTokens  float64
 	offerAt      uint32
-	expiry       expiryState
-	nextID       uint64
-	loopback     []*apiv1.Envelope
+	// ownRecorded is the epoch for which recordOwnFlows has run.
+	ownRecorded uint64
+	expiry      expiryState
+	nextID      uint64
+	loopback    []*apiv1.Envelope
 }
 
 // New makes the core of a node. The member's incarnation must be higher than
@@ -175,6 +178,10 @@
 		core.stepBindRequest(from, body.BindRequest)
 	case *apiv1.Envelope_BindReply:
 		core.stepBindReply(from, body.BindReply)
+	case *apiv1.Envelope_RecordDigest:
+		core.stepRecordDigest(from, body.RecordDigest)
+	case *apiv1.Envelope_RecordMismatch:
+		core.stepRecordMismatch(from, body.RecordMismatch)
 	case *apiv1.Envelope_RecordOffer:
 		core.stepRecordOffer(from, body.RecordOffer)
 	case *apiv1.Envelope_RecordWanted:
--- a/internal/core/document.go
+++ b/internal/core/document.go
@@ -154,6 +154,8 @@
 	request := &apiv1.StateRequest{
 		DocumentVersion:       core.document.GetVersion(),
 		ConfigurationRevision: core.configuration.GetRevision(),
+		SettledNumber:         core.document.GetSettled().GetNumber(),
+		PendingNumber:         core.document.GetPending().GetNumber(),
 	}
 	core.send(from, &apiv1.Envelope{Body: &apiv1.Envelope_StateRequest{StateRequest: request}})
 }
@@ -161,7 +163,7 @@
 func (core *Core) stepStateRequest(from string, request *apiv1.StateRequest) {
 	state := &apiv1.State{Phase: uint32(core.phase)}
 	if core.document.GetVersion() > request.GetDocumentVersion() {
-		state.Document = core.document
+		state.Document = withoutKnown(core.document, request)
 	}
 	if core.configuration.GetRevision() > request.GetConfigurationRevision() {
 		state.Configuration = core.configuration
@@ -176,6 +178,56 @@
 	core.send(from, &apiv1.Envelope{Body: &apiv1.Envelope_State{State: state}})
 }
 
+// withoutKnown leaves out of a document the epochs that the requester has; only
+// their numbers remain.
+func withoutKnown(document *apiv1.EpochDocument, request *apiv1.StateRequest) *apiv1.EpochDocument {
+	short := &apiv1.EpochDocument{
+		Version: document.GetVersion(),
+		Settled: document.GetSettled(),
+		Pending: document.GetPending(),
+		Fenced:  document.GetFenced(),
+	}
+	known := func(epoch *apiv1.Epoch) bool {
+		number := epoch.GetNumber()
+		return number == request.GetSettledNumber() || number == request.GetPendingNumber()
+	}
+	if known(short.GetSettled()) {
+		short.Settled = &apiv1.Epoch{Number: short.GetSettled().GetNumber()}
+	}
+	if short.GetPending() != nil && known(short.GetPending()) {
+		short.Pending = &apiv1.Epoch{Number: short.GetPending().GetNumber()}
+	}
+	return short
+}
+
+// completeDocument puts the epochs that were left out back in. It returns nil
+// when this node does not have them after all.
+func (core *Core) completeDocument(short *apiv1.EpochDocument) *apiv1.EpochDocument {
+	full := &apiv1.EpochDocument{Version: short.GetVersion(), Fenced: short.GetFenced()}
+	if full.Settled = core.completeEpoch(short.GetSettled()); full.GetSettled() == nil {
+		return nil
+	}
+	if short.GetPending() == nil {
+		return full
+	}
+	if full.Pending = core.completeEpoch(short.GetPending()); full.GetPending() == nil {
+		return nil
+	}
+	return full
+}
+
+func (core *Core) completeEpoch(short *apiv1.Epoch) *apiv1.Epoch {
+	if len(short.GetMembers()) > 0 {
+		return short
+	}
+	for _, known := range []*apiv1.Epoch{core.document.GetSettled(), core.document.GetPending()} {
+		if known != nil && known.GetNumber() == short.GetNumber() {
+			return known
+		}
+	}
+	return nil
+}
+
 func (core *Core) stepState(state *apiv1.State) {
 	for _, member := range state.GetParticipants() {
 		core.Meet(member)
@@ -185,7 +237,9 @@
 		if core.document != nil && core.isMember() {
 			phase = router.PhaseNone
 		}
-		core.acceptDocument(state.GetDocument(), phase)
+		if document := core.completeDocument(state.GetDocument()); document != nil {
+			core.acceptDocument(document, phase)
+		}
 	}
 	if state.GetConfiguration() != nil {
 		core.ObserveConfiguration(core.now, state.GetConfiguration())
--- a/internal/core/expiry.go
+++ b/internal/core/expiry.go
@@ -51,8 +51,7 @@
 	}
 	query := &apiv1.AliveQuery{Query: core.expiry.query}
 	for _, key := range keys {
-		bytes := key.Bytes()
-		query.Keys = append(query.Keys, bytes[:]...)
+		query.Keys = appendKey(query.Keys, key)
 	}
 	core.spend(len(query.Keys))
 	for _, id := range sortedKeys(core.participants()) {
@@ -74,16 +73,15 @@
 }
 
 func (core *Core) stepAliveQuery(from string, query *apiv1.AliveQuery) {
-	count := len(query.GetKeys()) / flow.BinarySize
-	reply := &apiv1.AliveReply{Query: query.GetQuery(), Bitmap: make([]byte, (count+7)/8)}
-	for index := range count {
-		key, err := flow.FromBytes(query.GetKeys()[index*flow.BinarySize : (index+1)*flow.BinarySize])
-		if err != nil {
-			return
-		}
+	keys, err := readKeys(query.GetKeys())
+	if err != nil {
+		return
+	}
+	reply := &apiv1.AliveReply{Query: query.GetQuery(), Bitmap: newBitmap(len(keys))}
+	for index, key := range keys {
 		entry, found := core.flows.Get(key, key.Hash())
 		if found && core.now-entry.LastSeen <= milliseconds(core.config.RecordIdleTime) {
-			reply.Bitmap[index/8] |= 1 << (index % 8)
+			setBit(reply.Bitmap, index)
 		}
 	}
 	core.send(from, &apiv1.Envelope{Body: &apiv1.Envelope_AliveReply{AliveReply: reply}})
@@ -94,8 +92,7 @@
 		return
 	}
 	for index, key := range core.expiry.keys {
-		alive := index/8 < len(reply.GetBitmap()) && reply.GetBitmap()[index/8]&(1<<(index%8)) != 0
-		if kept := core.records[key]; alive && kept != nil {
+		if kept := core.records[key]; kept != nil && hasBit(reply.GetBitmap(), index) {
 			kept.lastSeen = core.now
 		}
 	}
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -88,14 +88,12 @@
 // keepers get the same answer.
 func (core *Core) stepBindRequest(from string, request *apiv1.BindRequest) {
 	fresh := make(map[string][]flow.Key)
-	keys := make([]flow.Key, 0, len(request.GetBindings()))
-	for _, binding := range request.GetBindings() {
-		key, err := flow.FromBytes(binding.GetKey())
-		if err != nil {
-			return
-		}
-		keys = append(keys, key)
-		if core.bindOne(key, binding.GetProposal(), request.GetReplicated(), from) {
+	keys, err := readKeys(request.GetKeys())
+	if err != nil || len(keys) != len(request.GetProposals()) {
+		return
+	}
+	for index, key := range keys {
+		if core.bindOne(key, request.GetProposals()[index], request.GetReplicated(), from) {
 			other := core.otherKeeper(key)
 			fresh[other] = append(fresh[other], key)
 		}
@@ -177,9 +175,8 @@
 	id := core.identifier()
 	request := &apiv1.BindRequest{Request: id, Replicated: true}
 	for _, key := range created {
-		bytes := key.Bytes()
-		request.Bindings = append(request.Bindings,
-			&apiv1.Binding{Key: bytes[:], Proposal: core.records[key].backend})
+		request.Keys = appendKey(request.Keys, key)
+		request.Proposals = append(request.Proposals, core.records[key].backend)
 	}
 	core.replications[id] = &replicationPart{whole: whole, created: created}
 	whole.waitingFor++
@@ -218,6 +215,25 @@
 	}
 }
 
+func appendKey(bytes []byte, key flow.Key) []byte {
+	encoded := key.Bytes()
+	return append(bytes, encoded[:]...)
+}
+
+// readKeys reads keys of 13 bytes each.
+func readKeys(bytes []byte) ([]flow.Key, error) {
+	keys := make([]flow.Key, 0, len(bytes)/flow.BinarySize)
+	for len(bytes) > 0 {
+		key, err := flow.FromBytes(bytes[:min(len(bytes), flow.BinarySize)])
+		if err != nil {
+			return nil, err
+		}
+		keys = append(keys, key)
+		bytes = bytes[flow.BinarySize:]
+	}
+	return keys, nil
+}
+
 // Kept returns the number of records that this node keeps.
 func (core *Core) Kept() int { return len(core.records) }
 
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -23,7 +23,6 @@
 	sequence     uint64
 	sentAt       map[uint64]uint32
 	progress     *apiv1.Progress
-	stateAsked   uint32
 	// confirmedTo is when this node last confirmed a heartbeat of the peer;
 	// hasConfirmedTo is false before the first one.
 	confirmedTo    uint32
@@ -32,6 +31,11 @@
 
 const sentTimesKept = 16
 
+// stateRetry is after how many milliseconds a node that lacks state asks again,
+// the same peer or another. News usually comes from several peers at once; one
+// answer is enough.
+const stateRetry = 100
+
 // Meet tells the core of another node, from the settings, the platform's list
 // or the document. It is a hint: the peer counts once it answers.
 func (core *Core) Meet(member *apiv1.Member) {
@@ -87,6 +91,15 @@
 	core.progressSent = core.progress()
 }
 
+// broadcastNews sends progress that needs no confirmation.
+func (core *Core) broadcastNews() {
+	core.progressSent = core.progress()
+	for _, id := range sortedKeys(core.peers) {
+		news := &apiv1.Heartbeat{Progress: core.progressSent}
+		core.send(id, &apiv1.Envelope{Body: &apiv1.Envelope_Heartbeat{Heartbeat: news}})
+	}
+}
+
 func (core *Core) sendHeartbeat(to *peer) {
 	to.sequence++
 	to.sentAt[to.sequence] = core.now
@@ -101,7 +114,7 @@
 // broadcastProgress sends news at once instead of with the next heartbeat.
 func (core *Core) broadcastProgress() {
 	if core.progressSent != nil && !proto.Equal(core.progressSent, core.progress()) {
-		core.broadcastHeartbeat()
+		core.broadcastNews()
 	}
 }
 
@@ -110,7 +123,7 @@
 func (core *Core) stepHeartbeat(from string, heartbeat *apiv1.Heartbeat) {
 	core.noteProgress(from, heartbeat.GetProgress())
 	known := core.peers[from]
-	if core.fencedIn(core.heldBack, known.member) {
+	if heartbeat.GetSequence() == 0 || core.fencedIn(core.heldBack, known.member) {
 		return
 	}
 	reply := &apiv1.HeartbeatReply{Sequence: heartbeat.GetSequence()}
@@ -174,9 +187,9 @@
 		progress.GetConfigurationRevision() > core.configuration.GetRevision() ||
 		progress.GetMarksDigest() != core.marksDigest() ||
 		core.lacksParticipant(progress)
-	recently := known.stateAsked != 0 && core.now-known.stateAsked < milliseconds(core.config.HeartbeatInterval)/2
+	recently := core.stateAskedAt != 0 && core.now-core.stateAskedAt < stateRetry
 	if ahead && !recently {
-		known.stateAsked = max(core.now, 1)
+		core.stateAskedAt = max(core.now, 1)
 		core.requestState(from)
 	}
 }
--- a/internal/core/offer.go
+++ b/internal/core/offer.go
@@ -1,26 +1,49 @@
 package core
 
 import (
+	"bytes"
 	"encoding/binary"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
-	"github.com/indigobarrow/indigobarrow/internal/flow"
 )
 
-// offer is a list of flows that a keeper is asked to record. It goes in three
-// messages: the fingerprints, the ones the keeper lacks, and their records. A
-// flow that many nodes hold is thus sent whole only once.
+// offer is a list of flows that a keeper is asked to record. Most of them are
+// known to the keeper, which sees the same traffic, so the two first compare
+// digests of buckets; the flows of differing buckets are offered by their
+// fingerprints, and only those that the keeper lacks are sent whole.
 type offer struct {
 	id     uint64
 	keeper string
 	flows  []heldFlow
-	// sentAt is when the present message was sent; 0 is not yet.
+	// stage is what is sent next, or was sent and is not answered.
+	stage offerStage
+	// sentAt is when it was sent; 0 is not yet.
 	sentAt uint32
-	wanted []heldFlow
 }
 
+type offerStage uint8
+
+const (
+	stageDigest offerStage = iota
+	stageFingerprints
+	stageRecords
+)
+
+const (
+	// digestSize is the length of a bucket's digest in bytes.
+	digestSize = 4
+	// flowsPerBucket weighs the digests' bytes against the fingerprints of
+	// differing buckets.
+	flowsPerBucket = 6
+	// digestMinimum is the number of flows below which digests do not pay.
+	digestMinimum = 16
+)
+
 // offerRetry is after how many milliseconds an unanswered offer is sent again.
-const offerRetry = 1000
+const offerRetry = 700
+
+// offerBurst is how many seconds of the budget may be saved up.
+const offerBurst = 0.5
 
 // offerOverhead approximates the bytes of an envelope around an offer.
 const offerOverhead = 40
@@ -40,7 +63,11 @@
 		}
 	}
 	for _, keeper := range sortedKeys(byKeeper) {
-		core.queueOffers(keeper, byKeeper[keeper])
+		if len(byKeeper[keeper]) < digestMinimum {
+			core.queueOffers(keeper, byKeeper[keeper])
+			continue
+		}
+		core.queueOffer(&offer{keeper: keeper, flows: byKeeper[keeper], stage: stageDigest})
 	}
 }
 
@@ -53,18 +80,22 @@
 func (core *Core) queueOffers(keeper string, flows []heldFlow) {
 	for len(flows) > 0 {
 		count := min(core.config.OfferSize, len(flows))
-		queued := &offer{id: core.identifier(), keeper: keeper, flows: flows[:count]}
-		core.offers[queued.id] = queued
-		core.offerQueue = append(core.offerQueue, queued)
+		core.queueOffer(&offer{keeper: keeper, flows: flows[:count], stage: stageFingerprints})
 		flows = flows[count:]
 	}
 }
 
+func (core *Core) queueOffer(queued *offer) {
+	queued.id = core.identifier()
+	core.offers[queued.id] = queued
+	core.offerQueue = append(core.offerQueue, queued)
+}
+
 // tickOffers sends queued offers within the byte budget and repeats those that
 // were not answered. An offer to a keeper that is fenced meanwhile is dropped.
 func (core *Core) tickOffers() {
 	rate := float64(core.config.RecordBytesPerSecond)
-	core.offerTokens = min(core.offerTokens+rate*float64(core.now-core.offerAt)/1000, rate)
+	core.offerTokens = min(core.offerTokens+rate*float64(core.now-core.offerAt)/1000, rate*offerBurst)
 	core.offerAt = core.now
 	members := core.members()
 	for id, waiting := range core.offers {
@@ -93,10 +124,106 @@
 
 func (core *Core) sendOffer(next *offer) {
 	next.sentAt = max(core.now, 1)
-	if next.wanted != nil {
+	switch next.stage {
+	case stageDigest:
+		core.sendDigest(next)
+	case stageFingerprints:
+		core.sendFingerprints(next)
+	case stageRecords:
 		core.sendBatch(next)
+	}
+}
+
+func bucketCount(flows int) int { return max(1, flows/flowsPerBucket) }
+
+// addToDigest puts a fingerprint into its bucket's digest.
+func addToDigest(digests []byte, print fingerprint) {
+	bucket := int(print % fingerprint(len(digests)/digestSize))
+	place := digests[bucket*digestSize : (bucket+1)*digestSize]
+	mixed := uint32(uint64(print) * 0x9e3779b97f4a7c15 >> 32)
+	binary.LittleEndian.PutUint32(place, binary.LittleEndian.Uint32(place)^mixed)
+}
+
+func (core *Core) sendDigest(next *offer) {
+	digests := make([]byte, bucketCount(len(next.flows))*digestSize)
+	for _, held := range next.flows {
+		addToDigest(digests, fingerprintOf(held.key))
+	}
+	core.spend(len(digests))
+	message := &apiv1.RecordDigest{Offer: next.id, EpochNumber: core.targetNumber(), Digests: digests}
+	core.send(next.keeper, &apiv1.Envelope{Body: &apiv1.Envelope_RecordDigest{RecordDigest: message}})
+}
+
+// targetNumber is the epoch from which the offered flows are displaced.
+func (core *Core) targetNumber() uint64 {
+	if core.pending != nil {
+		return core.pending.Number
+	}
+	return core.settled.Number
+}
+
+// stepRecordDigest compares a digest with this node's own records of flows that
+// are displaced from the same epoch. A node at another epoch does not answer;
+// the offer comes again.
+func (core *Core) stepRecordDigest(from string, message *apiv1.RecordDigest) {
+	count := len(message.GetDigests()) / digestSize
+	if core.settled == nil || message.GetEpochNumber() != core.targetNumber() || count == 0 {
+		return
+	}
+	core.recordOwnFlows()
+	digests := make([]byte, count*digestSize)
+	for key, kept := range core.records {
+		first, second := core.pendingKeeper.Pick(key.Hash())
+		if (first == core.self.GetId() || second == core.self.GetId()) && core.displaced(key, kept.backend) {
+			addToDigest(digests, fingerprintOf(key))
+		}
+	}
+	mismatch := &apiv1.RecordMismatch{Offer: message.GetOffer(), Bitmap: newBitmap(count)}
+	for bucket := range count {
+		place := bucket * digestSize
+		if !bytes.Equal(digests[place:place+digestSize], message.GetDigests()[place:place+digestSize]) {
+			setBit(mismatch.Bitmap, bucket)
+		}
+	}
+	core.spend(len(mismatch.Bitmap))
+	core.send(from, &apiv1.Envelope{Body: &apiv1.Envelope_RecordMismatch{RecordMismatch: mismatch}})
+}
+
+// recordOwnFlows records the displaced flows of this node's table that it
+// keeps, so that its digests can match. It does so once an epoch.
+func (core *Core) recordOwnFlows() {
+	if core.ownRecorded == core.targetNumber() {
+		return
+	}
+	core.ownRecorded = core.targetNumber()
+	for _, held := range core.displacedFlows() {
+		for _, keeper := range keepersFor(core.pendingKeeper, held.key) {
+			if keeper == core.self.GetId() {
+				core.recordHeld(held)
+			}
+		}
+	}
+}
+
+// stepRecordMismatch offers the flows of the differing buckets.
+func (core *Core) stepRecordMismatch(from string, message *apiv1.RecordMismatch) {
+	waiting := core.offers[message.GetOffer()]
+	if waiting == nil || waiting.keeper != from || waiting.stage != stageDigest {
 		return
 	}
+	delete(core.offers, waiting.id)
+	count := fingerprint(bucketCount(len(waiting.flows)))
+	var differing []heldFlow
+	for _, held := range waiting.flows {
+		if hasBit(message.GetBitmap(), int(fingerprintOf(held.key)%count)) {
+			differing = append(differing, held)
+		}
+	}
+	core.queueOffers(from, differing)
+	core.tickOffers()
+}
+
+func (core *Core) sendFingerprints(next *offer) {
 	prints := make([]byte, 0, len(next.flows)*fingerprintSize)
 	for _, held := range next.flows {
 		prints = appendFingerprint(prints, fingerprintOf(held.key))
@@ -104,17 +231,16 @@
 	core.spend(len(prints))
 	message := &apiv1.RecordOffer{
 		Offer:        next.id,
-		EpochNumber:  core.document.GetPending().GetNumber(),
+		EpochNumber:  core.targetNumber(),
 		Fingerprints: prints,
 	}
 	core.send(next.keeper, &apiv1.Envelope{Body: &apiv1.Envelope_RecordOffer{RecordOffer: message}})
 }
 
 func (core *Core) sendBatch(next *offer) {
-	batch := &apiv1.RecordBatch{Offer: next.id, EpochNumber: core.document.GetPending().GetNumber()}
-	for _, held := range next.wanted {
-		bytes := held.key.Bytes()
-		batch.Keys = append(batch.Keys, bytes[:]...)
+	batch := &apiv1.RecordBatch{Offer: next.id, EpochNumber: core.targetNumber()}
+	for _, held := range next.flows {
+		batch.Keys = appendKey(batch.Keys, held.key)
 		batch.Backends = append(batch.Backends, held.backend)
 	}
 	core.spend(len(batch.Keys) + 2*len(batch.Backends))
@@ -123,11 +249,11 @@
 
 func (core *Core) stepRecordOffer(from string, message *apiv1.RecordOffer) {
 	count := len(message.GetFingerprints()) / fingerprintSize
-	wanted := &apiv1.RecordWanted{Offer: message.GetOffer(), Bitmap: make([]byte, (count+7)/8)}
+	wanted := &apiv1.RecordWanted{Offer: message.GetOffer(), Bitmap: newBitmap(count)}
 	for index := range count {
 		print := readFingerprint(message.GetFingerprints()[index*fingerprintSize:])
 		if core.fingerprints[print] == 0 {
-			wanted.Bitmap[index/8] |= 1 << (index % 8)
+			setBit(wanted.Bitmap, index)
 		}
 	}
 	core.spend(len(wanted.Bitmap))
@@ -136,12 +262,12 @@
 
 func (core *Core) stepRecordWanted(from string, message *apiv1.RecordWanted) {
 	waiting := core.offers[message.GetOffer()]
-	if waiting == nil || waiting.keeper != from || waiting.wanted != nil {
+	if waiting == nil || waiting.keeper != from || waiting.stage != stageFingerprints {
 		return
 	}
-	wanted := make([]heldFlow, 0)
+	var wanted []heldFlow
 	for index, held := range waiting.flows {
-		if index/8 < len(message.GetBitmap()) && message.GetBitmap()[index/8]&(1<<(index%8)) != 0 {
+		if hasBit(message.GetBitmap(), index) {
 			wanted = append(wanted, held)
 		}
 	}
@@ -149,23 +275,20 @@
 		delete(core.offers, waiting.id)
 		return
 	}
-	waiting.wanted = wanted
+	waiting.flows = wanted
+	waiting.stage = stageRecords
 	waiting.sentAt = 0
 	core.offerQueue = append([]*offer{waiting}, core.offerQueue...)
 	core.tickOffers()
 }
 
 func (core *Core) stepRecordBatch(from string, batch *apiv1.RecordBatch) {
-	keys := batch.GetKeys()
-	if len(keys) != len(batch.GetBackends())*flow.BinarySize {
+	keys, err := readKeys(batch.GetKeys())
+	if err != nil || len(keys) != len(batch.GetBackends()) {
 		return
 	}
-	for index, backend := range batch.GetBackends() {
-		key, err := flow.FromBytes(keys[index*flow.BinarySize : (index+1)*flow.BinarySize])
-		if err != nil {
-			return
-		}
-		core.recordHeld(heldFlow{key: key, backend: backend})
+	for index, key := range keys {
+		core.recordHeld(heldFlow{key: key, backend: batch.GetBackends()[index]})
 	}
 	core.send(from, &apiv1.Envelope{Body: &apiv1.Envelope_RecordAck{RecordAck: &apiv1.RecordAck{Offer: batch.GetOffer()}}})
 }
@@ -176,14 +299,23 @@
 	}
 }
 
-func appendFingerprint(bytes []byte, print fingerprint) []byte {
+func appendFingerprint(prints []byte, print fingerprint) []byte {
 	var buffer [8]byte
 	binary.LittleEndian.PutUint64(buffer[:], uint64(print))
-	return append(bytes, buffer[:fingerprintSize]...)
+	return append(prints, buffer[:fingerprintSize]...)
 }
 
-func readFingerprint(bytes []byte) fingerprint {
+func readFingerprint(prints []byte) fingerprint {
 	var buffer [8]byte
-	copy(buffer[:fingerprintSize], bytes)
+	copy(buffer[:fingerprintSize], prints)
 	return fingerprint(binary.LittleEndian.Uint64(buffer[:]))
 }
+
+func newBitmap(count int) []byte { return make([]byte, (count+7)/8) }
+
+func setBit(bitmap []byte, index int) { bitmap[index/8] |= 1 << (index % 8) }
+
+// hasBit reports a bit; bits past the end are 0.
+func hasBit(bitmap []byte, index int) bool {
+	return index/8 < len(bitmap) && bitmap[index/8]&(1<<(index%8)) != 0
+}
--- a/internal/core/phase.go
+++ b/internal/core/phase.go
@@ -67,7 +67,7 @@
 	var flows []heldFlow
 	for shard := range flowtable.ShardCount {
 		core.flows.Visit(shard, func(key flow.Key, entry flowtable.Entry) bool {
-			young := core.now-entry.Opened <= retry
+			young := entry.Flags&flowtable.FlagOpenedHere != 0 && core.now-entry.Opened <= retry
 			if young && core.view.Ambiguous(key, key.Hash()) {
 				flows = append(flows, heldFlow{key: key, backend: entry.Backend})
 			}
--- a/internal/core/publish.go
+++ b/internal/core/publish.go
@@ -61,7 +61,10 @@
 		return
 	}
 	core.publish.trying = false
-	next := core.nextDocument()
+	var next *apiv1.EpochDocument
+	if core.mayPublish() {
+		next = core.nextDocument()
+	}
 	if next == nil {
 		core.publish.wantedSince = 0
 		return
@@ -77,6 +80,17 @@
 	core.out.Write = &DocumentWrite{Document: next}
 }
 
+// mayPublish reports whether this node may write: it is in contact with a
+// majority, or there is no document yet, or the majority has been silent for
+// RecoveryTime. Without this, the two sides of a cut would take turns in
+// publishing epochs that name only themselves.
+func (core *Core) mayPublish() bool {
+	if core.document == nil || core.now <= core.freshUntil() {
+		return true
+	}
+	return core.isMember() && core.lostMajority(core.members())
+}
+
 // publishDelay is this node's back-off: its rank among the live members, and
 // doubling after failures.
 func (core *Core) publishDelay() uint32 {
@@ -230,9 +244,6 @@
 
 // lostMajority reports whether most members have been silent for RecoveryTime.
 func (core *Core) lostMajority(members map[string]*apiv1.Member) bool {
-	if len(members) == 0 || !core.isMember() {
-		return core.aloneSince != 0 && core.now-core.aloneSince > milliseconds(core.config.RecoveryTime)
-	}
 	silent := 0
 	for id := range members {
 		known := core.peers[id]
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -33,6 +33,7 @@
 	baseline       *baseline
 	controlBytes   uint64
 	bytesByKind    map[string]uint64
+	rates          []float64
 	startedAt      time.Duration
 	acceptedAt     map[uint64]time.Duration
 }
--- a/internal/lab/plan.go
+++ b/internal/lab/plan.go
@@ -37,6 +37,7 @@
 	InForceP99      time.Duration     `json:"in_force_p99"`
 	ControlMean     float64           `json:"control_mean"`
 	ControlPeak     float64           `json:"control_peak"`
+	ControlSecond   float64           `json:"control_second"`
 	BytesByKind     map[string]uint64 `json:"bytes_by_kind"`
 	WeightChanges   int               `json:"weight_changes"`
 	Imbalance       []Imbalance       `json:"imbalance"`
@@ -68,7 +69,7 @@
 		Unopened: result.Unopened, Violation: result.Violation, Paths: paths,
 		MaximumOverMean: result.MeanMaximum(), Variation: result.MeanVariation(),
 		LeavingP99: Percentile(result.LeavingDelays, 99), InForceP99: Percentile(result.InForce, 99),
-		ControlMean: result.ControlMean, ControlPeak: result.ControlPeak, BytesByKind: result.BytesByKind,
+		ControlMean: result.ControlMean, ControlPeak: result.ControlPeak, ControlSecond: result.ControlSecond, BytesByKind: result.BytesByKind,
 		WeightChanges: result.WeightChanges, Imbalance: result.Imbalance, LeavingDelays: result.LeavingDelays,
 	}
 }
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -37,6 +37,9 @@
 		{Name: "drain", Planned: true, Length: 120 * seconds, Play: func(world *World) {
 			world.At(40*seconds, func() { world.Drain(0, 3) })
 		}},
+		{Name: "drain-steady", Planned: true, Length: 300 * seconds, Play: func(world *World) {
+			world.At(200*seconds, func() { world.Drain(0, 3) })
+		}},
 		{Name: "drain-and-undrain", Planned: true, Length: 150 * seconds, Play: func(world *World) {
 			world.At(40*seconds, func() { world.Drain(0, 3) })
 			world.At(60*seconds, func() { world.Drain(0, 7) })
