Add process tests of the main path and of five failures

Cause: only the emulator had shown the promises. Separate processes now: 6 nodes, 7 back ends, 6 callers, store, machine list and fabric; kill, planned stops, SIGSTOP past the lease, store outage, racing operators with half of the store's answers lost.

--- /dev/null
+++ b/test/e2e/cluster_test.go
@@ -0,0 +1,354 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/admin"
+	"github.com/indigobarrow/indigobarrow/internal/standin/backend"
+	"github.com/indigobarrow/indigobarrow/internal/standin/caller"
+)
+
+var zones = []string{"maadi", "nasr", "giza"}
+
+const (
+	lendingAddress = "10.200.0.1"
+	coversAddress  = "10.200.0.2"
+	nodeCount      = 6
+	lendingCount   = 5
+	coversCount    = 2
+)
+
+// process is one program started by a test.
+type process struct {
+	name    string
+	command *exec.Cmd
+	log     *os.File
+}
+
+// cluster is the processes of one test, on loopback addresses of its own.
+type cluster struct {
+	t       *testing.T
+	number  int
+	dir     string
+	all     []*process
+	nodes   map[string]*process
+	order   []string
+	started int
+}
+
+func binary(t *testing.T, name string) string {
+	directory := os.Getenv("INDIGOBARROW_BIN")
+	if directory == "" {
+		directory = filepath.Join("..", "..", "bin")
+	}
+	path, err := filepath.Abs(filepath.Join(directory, name))
+	require.NoError(t, err)
+	require.FileExists(t, path, "run \"make build\" first")
+	return path
+}
+
+// newCluster starts the platform, six nodes in three zones, two services and
+// their back ends. The number keeps the addresses of tests apart.
+func newCluster(t *testing.T, number int) *cluster {
+	cluster := &cluster{t: t, number: number, dir: t.TempDir(), nodes: make(map[string]*process)}
+	t.Cleanup(cluster.stop)
+	cluster.start("store", "standin", "store", "--listen", cluster.ip(0, 1)+":7000")
+	cluster.start("machines", "standin", "machines", "--listen", cluster.ip(0, 1)+":7001", "--lag", "2s")
+	cluster.start("fabric", "standin", "fabric", "--listen", cluster.ip(0, 2)+":7002", "--control", cluster.ip(0, 2)+":7003")
+	for place := range nodeCount {
+		cluster.startNode(zones[place%len(zones)])
+	}
+	cluster.put("lending", lendingAddress, lendingCount, 2)
+	cluster.put("covers", coversAddress, coversCount, 3)
+	cluster.waitInForce(20 * time.Second)
+	return cluster
+}
+
+func (cluster *cluster) ip(net, host int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 100+cluster.number, net, host)
+}
+
+func (cluster *cluster) start(name, program string, arguments ...string) *process {
+	log, err := os.Create(filepath.Join(cluster.dir, name+".log"))
+	require.NoError(cluster.t, err)
+	command := exec.Command(binary(cluster.t, program), arguments...)
+	command.Stdout, command.Stderr = log, log
+	require.NoError(cluster.t, command.Start())
+	started := &process{name: name, command: command, log: log}
+	cluster.all = append(cluster.all, started)
+	return started
+}
+
+// stop ends the processes that this test started, by their IDs.
+func (cluster *cluster) stop() {
+	for _, process := range cluster.all {
+		_ = process.command.Process.Signal(syscall.SIGCONT)
+		_ = process.command.Process.Kill()
+		_ = process.command.Wait()
+		_ = process.log.Close()
+		if cluster.t.Failed() && cluster.nodes[process.name] != nil {
+			content, _ := os.ReadFile(process.log.Name())
+			cluster.t.Logf("%s:\n%s", process.name, content)
+		}
+	}
+}
+
+// startNode starts a node from a settings file and puts it on the fabric's
+// list and the platform's.
+func (cluster *cluster) startNode(zone string) string {
+	cluster.started++
+	id := fmt.Sprintf("%s-%d", zone, cluster.started)
+	host := cluster.ip(1, cluster.started)
+	var seeds []string
+	for place, other := range cluster.order {
+		if place < 3 {
+			seeds = append(seeds, other+"@"+cluster.host(other)+":6090")
+		}
+	}
+	content := fmt.Sprintf("id: %s\nzone: %s\ngroup: e2e\ndata_address: %s:6080\npeer_address: %s:6090\n"+
+		"admin_address: %s:6070\nstore_address: %s:7000\nmachines_address: %s:7001\nseeds: [%s]\n",
+		id, zone, host, host, host, cluster.ip(0, 1), cluster.ip(0, 1), strings.Join(seeds, ", "))
+	path := filepath.Join(cluster.dir, id+".yaml")
+	require.NoError(cluster.t, os.WriteFile(path, []byte(content), 0o600))
+	cluster.nodes[id] = cluster.start(id, "indigobarrow", "node", "--settings", path)
+	cluster.order = append(cluster.order, id)
+	machine := map[string]string{"id": id, "zone": zone, "peer_address": host + ":6090", "state": "live", "group": "e2e"}
+	cluster.control("http://"+cluster.ip(0, 1)+":7001/v1/machines", machine)
+	cluster.setFabric()
+	return id
+}
+
+func (cluster *cluster) host(id string) string {
+	return cluster.ip(1, cluster.numberOf(id))
+}
+
+func (cluster *cluster) numberOf(id string) int {
+	var number int
+	_, err := fmt.Sscanf(id[strings.LastIndex(id, "-")+1:], "%d", &number)
+	require.NoError(cluster.t, err)
+	return number
+}
+
+func (cluster *cluster) setFabric() {
+	var addresses []string
+	for _, id := range cluster.order {
+		addresses = append(addresses, cluster.host(id)+":6080")
+	}
+	cluster.control("http://"+cluster.ip(0, 2)+":7003/nodes", addresses)
+}
+
+// control sends a PUT to a stand-in, which may still be starting.
+func (cluster *cluster) control(url string, body any) {
+	encoded, err := json.Marshal(body)
+	require.NoError(cluster.t, err)
+	require.Eventually(cluster.t, func() bool {
+		request, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(encoded))
+		require.NoError(cluster.t, err)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	}, 10*time.Second, 50*time.Millisecond, url)
+}
+
+func (cluster *cluster) get(url string, answer any) {
+	response, err := http.Get(url)
+	require.NoError(cluster.t, err)
+	defer func() { _ = response.Body.Close() }()
+	require.NoError(cluster.t, json.NewDecoder(response.Body).Decode(answer))
+}
+
+func (cluster *cluster) client() *admin.Client {
+	return admin.NewClient(cluster.host(cluster.order[0])+":6070", "")
+}
+
+// put starts a service's back ends and creates the service.
+func (cluster *cluster) put(name, address string, count, net int) {
+	service := &apiv1.Service{Name: name, Address: address, Port: 80}
+	for place := range count {
+		host := cluster.ip(net, place+1)
+		backend := fmt.Sprintf("%s-%d", name, place)
+		cluster.start(backend, "standin", "backend", "--name", backend, "--service", name, "--address", address+":80",
+			"--tunnel", host+":6080", "--control", host+":7100", "--work", "1ms")
+		service.Backends = append(service.Backends, &apiv1.Backend{Name: backend, Zone: zones[place%3],
+			TunnelAddress: host + ":6080", ReportAddress: host + ":7100", Slots: 2})
+	}
+	request := &apiv1.ChangeRequest{OperationId: "create-" + name, Change: &apiv1.ChangeRequest_PutService{PutService: service}}
+	require.Eventually(cluster.t, func() bool {
+		_, err := cluster.client().Change(context.Background(), request)
+		return err == nil
+	}, 15*time.Second, 100*time.Millisecond)
+}
+
+func (cluster *cluster) drain(service, backend string, leaving bool) *apiv1.ChangeAnswer {
+	request := &apiv1.ChangeRequest{OperationId: fmt.Sprintf("drain-%s-%d", backend, time.Now().UnixNano()),
+		Change: &apiv1.ChangeRequest_Drain{Drain: &apiv1.DrainRequest{Service: service, Backend: backend, Leaving: leaving}}}
+	answer, err := cluster.client().Change(context.Background(), request)
+	require.NoError(cluster.t, err)
+	return answer
+}
+
+func (cluster *cluster) status() *apiv1.NodeStatus {
+	status, err := cluster.client().Status(context.Background())
+	require.NoError(cluster.t, err)
+	return status
+}
+
+// waitInForce waits until the accepted revision is in force on all live nodes.
+func (cluster *cluster) waitInForce(limit time.Duration) time.Duration {
+	start := time.Now()
+	require.Eventually(cluster.t, func() bool {
+		status, err := cluster.client().Status(context.Background())
+		if err != nil || status.GetAcceptedRevision() == 0 || status.GetInForceRevision() < status.GetAcceptedRevision() {
+			return false
+		}
+		alive := 1
+		for _, peer := range status.GetPeers() {
+			if peer.GetAlive() {
+				alive++
+			}
+			if peer.GetAlive() && peer.GetInForceRevision() < status.GetAcceptedRevision() {
+				return false
+			}
+		}
+		return alive >= min(len(cluster.order), nodeCount-1)
+	}, limit, 50*time.Millisecond)
+	return time.Since(start)
+}
+
+// call starts one caller of each service in each zone.
+func (cluster *cluster) call(connections, requests int) {
+	for place, zone := range zones {
+		for index, service := range []string{"lending", "covers"} {
+			address := []string{lendingAddress, coversAddress}[index]
+			inner := fmt.Sprintf("10.%d.%d.%d", 100+cluster.number, 9+place, index+1)
+			cluster.start("caller-"+zone+"-"+service, "standin", "caller", "--name", zone+"-"+service, "--inner", inner,
+				"--fabric", cluster.ip(0, 2)+":7002", "--service", service, "--target", address+":80",
+				"--control", cluster.callerControl(place, index), "--connections", fmt.Sprint(connections),
+				"--requests", fmt.Sprint(requests), "--interval", "150ms", "--once-share", "4")
+		}
+	}
+}
+
+func (cluster *cluster) callerControl(place, index int) string {
+	return fmt.Sprintf("%s:%d", cluster.ip(4, place+1), 7200+index)
+}
+
+// finish lets the callers end their connections and sums up what they saw.
+func (cluster *cluster) finish() caller.Counts {
+	for place := range zones {
+		for index := range 2 {
+			cluster.control("http://"+cluster.callerControl(place, index)+"/finish", nil)
+		}
+	}
+	require.Eventually(cluster.t, func() bool { return cluster.counts().Open == 0 }, 40*time.Second, 200*time.Millisecond)
+	return cluster.counts()
+}
+
+func (cluster *cluster) counts() caller.Counts {
+	var total caller.Counts
+	for place := range zones {
+		for index := range 2 {
+			var counts caller.Counts
+			cluster.get("http://"+cluster.callerControl(place, index)+"/counts", &counts)
+			total.Flows += counts.Flows
+			total.Answers += counts.Answers
+			total.Broken += counts.Broken
+			total.Refused += counts.Refused
+			total.NotRun += counts.NotRun
+			total.Unknown += counts.Unknown
+			total.Wrong += counts.Wrong
+			total.Unopened += counts.Unopened
+			total.Open += counts.Open
+			total.NotRunKeys = append(total.NotRunKeys, counts.NotRunKeys...)
+			total.AnsweredKeys = append(total.AnsweredKeys, counts.AnsweredKeys...)
+			total.UnknownKeys = append(total.UnknownKeys, counts.UnknownKeys...)
+			if counts.LastError != "" {
+				total.LastError = counts.LastError
+			}
+		}
+	}
+	return total
+}
+
+func (cluster *cluster) backend(net, place int) backend.Counts {
+	var counts backend.Counts
+	cluster.get(fmt.Sprintf("http://%s:7100/counts", cluster.ip(net, place+1)), &counts)
+	return counts
+}
+
+// judge checks the promises from both ends: every answer whole and its own, no
+// request of unknown fate, nothing run twice, nothing "not run" that ran, and no
+// packet at another service.
+func (cluster *cluster) judge(total caller.Counts) {
+	runs := make(map[string]int)
+	foreign := uint64(0)
+	for net, count := range map[int]int{2: lendingCount, 3: coversCount} {
+		for place := range count {
+			counts := cluster.backend(net, place)
+			foreign += counts.Foreign
+			for key, times := range counts.Runs {
+				runs[key] += times
+			}
+		}
+	}
+	t := cluster.t
+	t.Logf("flows %d, answers %d, broken %d, refused %d, not run %d, unknown %d, wrong %d, unopened %d, keys run %d",
+		total.Flows, total.Answers, total.Broken, total.Refused, total.NotRun, total.Unknown, total.Wrong, total.Unopened, len(runs))
+	require.Zero(t, total.Broken, total.LastError)
+	require.Zero(t, total.Wrong, total.LastError)
+	require.Zero(t, total.Unknown)
+	require.Zero(t, foreign, "packets at a back end of another service")
+	require.Positive(t, total.Answers)
+	for key, times := range runs {
+		require.Equal(t, 1, times, "request %s ran more than once", key)
+	}
+	for _, key := range total.NotRunKeys {
+		require.Zero(t, runs[key], "request %s ran although refused as not run", key)
+	}
+	for _, key := range total.AnsweredKeys {
+		require.Equal(t, 1, runs[key], "request %s was answered", key)
+	}
+}
+
+// kill ends a node without notice; the fabric notices a second later.
+func (cluster *cluster) kill(id string) {
+	require.NoError(cluster.t, cluster.nodes[id].command.Process.Kill())
+	cluster.forget(id)
+	time.Sleep(time.Second)
+	cluster.setFabric()
+}
+
+func (cluster *cluster) forget(id string) {
+	kept := cluster.order[:0:0]
+	for _, other := range cluster.order {
+		if other != id {
+			kept = append(kept, other)
+		}
+	}
+	cluster.order = kept
+}
+
+func (cluster *cluster) signal(id string, signal syscall.Signal) {
+	require.NoError(cluster.t, cluster.nodes[id].command.Process.Signal(signal))
+}
+
+func (cluster *cluster) storeFaults(faults map[string]any) {
+	cluster.control("http://"+cluster.ip(0, 1)+":7000/faults", faults)
+}
