--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -37,9 +37,10 @@
 	// shorter one empties the back end sooner.
 	MarkDelay time.Duration
 
-	// SynRetryTime is how long after a flow was opened its SYN may still come
-	// again through another node. Flows opened longer ago are not recorded
-	// before a pending epoch becomes active.
+	// SynRetryTime is how long after a SYN the next one may come, through
+	// another node. Flows silent for longer are not recorded before a pending
+	// epoch becomes active. Callers double the time between their tries; 16
+	// seconds pass before the sixth.
 	SynRetryTime time.Duration
 
 	// MemberDelay is how long a change of the live members must last before an
@@ -91,7 +92,7 @@
 		FencingMargin:        500 * time.Millisecond,
 		RecoveryTime:         30 * time.Second,
 		MarkDelay:            time.Second,
-		SynRetryTime:         3 * time.Second,
+		SynRetryTime:         17 * time.Second,
 		MemberDelay:          2 * time.Second,
 		PublishBackoff:       200 * time.Millisecond,
 		AskTimeout:           60 * time.Millisecond,
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -35,10 +35,9 @@
 
 // replication is a bind request that waits for the other keepers.
 type replication struct {
-	from     string
-	request  uint64
-	keys     []flow.Key
-	deadline uint32
+	from    string
+	request uint64
+	keys    []flow.Key
 	// waitingFor counts the keepers that have not confirmed.
 	waitingFor int
 }
@@ -46,9 +45,18 @@
 // replicationPart is what one other keeper is asked to confirm.
 type replicationPart struct {
 	whole   *replication
+	other   string
 	created []flow.Key
+	// answered is set once the asker was answered without the confirmation;
+	// the records are then sent again until the other keeper has them.
+	answered bool
+	deadline uint32
 }
 
+// replicationRetry is after how many milliseconds an unconfirmed record is sent
+// to the other keeper again.
+const replicationRetry = 150
+
 // setRecord stores a record of a flow.
 func (core *Core) setRecord(key flow.Key, backend uint32, tentative bool) {
 	if core.records[key] == nil {
@@ -98,12 +106,7 @@
 			fresh[other] = append(fresh[other], key)
 		}
 	}
-	whole := &replication{
-		from:     from,
-		request:  request.GetRequest(),
-		keys:     keys,
-		deadline: core.now + milliseconds(core.config.AskTimeout)/2,
-	}
+	whole := &replication{from: from, request: request.GetRequest(), keys: keys}
 	for _, other := range sortedKeys(fresh) {
 		core.replicate(whole, other, fresh[other])
 	}
@@ -173,14 +176,22 @@
 		return
 	}
 	id := core.identifier()
+	part := &replicationPart{whole: whole, other: other, created: created}
+	part.deadline = core.now + milliseconds(core.config.AskTimeout)/2
+	core.replications[id] = part
+	whole.waitingFor++
+	core.sendPart(id, part)
+}
+
+func (core *Core) sendPart(id uint64, part *replicationPart) {
 	request := &apiv1.BindRequest{Request: id, Replicated: true}
-	for _, key := range created {
-		request.Keys = appendKey(request.Keys, key)
-		request.Proposals = append(request.Proposals, core.records[key].backend)
+	for _, key := range part.created {
+		if kept := core.records[key]; kept != nil {
+			request.Keys = appendKey(request.Keys, key)
+			request.Proposals = append(request.Proposals, kept.backend)
+		}
 	}
-	core.replications[id] = &replicationPart{whole: whole, created: created}
-	whole.waitingFor++
-	core.send(other, &apiv1.Envelope{Body: &apiv1.Envelope_BindRequest{BindRequest: request}})
+	core.send(part.other, &apiv1.Envelope{Body: &apiv1.Envelope_BindRequest{BindRequest: request}})
 }
 
 // stepReplicated takes over what the other keeper held already.
@@ -189,16 +200,21 @@
 	if part == nil {
 		return
 	}
+	delete(core.replications, reply.GetRequest())
+	if part.answered {
+		return
+	}
 	for index, key := range part.created {
 		if index < len(reply.GetBackends()) && reply.GetBackends()[index] != rule.NoBackend {
 			core.setRecord(key, reply.GetBackends()[index], false)
 		}
 	}
-	core.finishPart(reply.GetRequest(), part)
+	core.answerPart(part)
 }
 
-func (core *Core) finishPart(id uint64, part *replicationPart) {
-	delete(core.replications, id)
+// answerPart lets the asker have its answer when this was the last part.
+func (core *Core) answerPart(part *replicationPart) {
+	part.answered = true
 	core.confirmRecords(part.created)
 	part.whole.waitingFor--
 	if part.whole.waitingFor == 0 {
@@ -206,12 +222,22 @@
 	}
 }
 
-// tickReplications answers without the other keeper when it does not confirm.
+// tickReplications answers without the other keeper when it does not confirm
+// in time, and goes on to send it the records until it does or is dead.
 func (core *Core) tickReplications() {
 	for id, part := range core.replications {
-		if core.now >= part.whole.deadline {
-			core.finishPart(id, part)
+		if core.now < part.deadline {
+			continue
+		}
+		if !part.answered {
+			core.answerPart(part)
+		}
+		if !core.alive(part.other) {
+			delete(core.replications, id)
+			continue
 		}
+		part.deadline = core.now + replicationRetry
+		core.sendPart(id, part)
 	}
 }
 
--- a/internal/core/marks.go
+++ b/internal/core/marks.go
@@ -16,6 +16,12 @@
 	mark      *apiv1.LeavingMark
 	learnedAt uint32
 	active    bool
+	// viewVersion must be in force before the flows are listed.
+	viewVersion uint64
+	listed      bool
+	// recorded is set when the flows that were opened here lately at the back
+	// end are recorded: their SYN may come again through another node.
+	recorded bool
 }
 
 // Mark keeps new flows from a back end, without the store. Marking a marked
@@ -38,7 +44,11 @@
 func (core *Core) Marks() []*apiv1.LeavingMark { return core.markList() }
 
 func (core *Core) addMark(mark *apiv1.LeavingMark) {
-	core.marks[mark.GetBackend()] = &markState{mark: proto.CloneOf(mark), learnedAt: core.now}
+	core.marks[mark.GetBackend()] = &markState{
+		mark:        proto.CloneOf(mark),
+		learnedAt:   core.now,
+		viewVersion: core.viewVersion + 1,
+	}
 	core.viewChanged = true
 }
 
@@ -79,24 +89,40 @@
 }
 
 // tickMarks makes marks active: at once when every participant knows the same
-// marks, else after MarkDelay.
+// marks and has recorded its new flows, else after MarkDelay.
 func (core *Core) tickMarks() {
 	for _, known := range core.marks {
+		core.recordForMark(known)
 		if known.active {
 			continue
 		}
 		late := core.now-known.learnedAt >= milliseconds(core.config.MarkDelay)
-		if late || core.marksLearnedByAll() {
+		if late || core.marksCompletedByAll() {
 			known.active = true
 			core.viewChanged = true
 		}
 	}
 }
 
-func (core *Core) marksLearnedByAll() bool {
+// recordForMark records the flows opened here lately at a marked back end.
+func (core *Core) recordForMark(known *markState) {
+	if known.recorded || core.settled == nil || core.viewInForce < known.viewVersion {
+		return
+	}
+	if !known.listed {
+		known.listed = true
+		core.offerEmbryonic(known.mark.GetBackend())
+	}
+	known.recorded = !core.outstanding(purposeMark)
+}
+
+func (core *Core) marksCompletedByAll() bool {
 	digest := core.marksDigest()
+	if core.completedMarksDigest() != digest {
+		return false
+	}
 	for id := range core.participants() {
-		if core.peers[id] == nil || core.peers[id].progress.GetMarksDigest() != digest {
+		if core.peers[id] == nil || core.peers[id].progress.GetCompletedMarksDigest() != digest {
 			return false
 		}
 	}
@@ -105,8 +131,19 @@
 
 // marksDigest is equal on nodes that know the same marks. 0 is no mark.
 func (core *Core) marksDigest() uint64 {
+	return core.digestMarks(func(*markState) bool { return true })
+}
+
+func (core *Core) completedMarksDigest() uint64 {
+	return core.digestMarks(func(known *markState) bool { return known.recorded })
+}
+
+func (core *Core) digestMarks(counts func(*markState) bool) uint64 {
 	var digest uint64
 	for backend, known := range core.marks {
+		if !counts(known) {
+			continue
+		}
 		text := strconv.FormatUint(uint64(backend), 10) + "/" +
 			strconv.FormatUint(known.mark.GetIncarnation(), 10)
 		digest ^= xxhash.Sum64String(text)
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -213,6 +213,7 @@
 		CompletedPhase:        uint32(core.completed),
 		ConfigurationRevision: core.configuration.GetRevision(),
 		MarksDigest:           core.marksDigest(),
+		CompletedMarksDigest:  core.completedMarksDigest(),
 		Suspects:              core.suspects(),
 	}
 	members := core.members()
--- a/internal/core/offer.go
+++ b/internal/core/offer.go
@@ -12,15 +12,28 @@
 // digests of buckets; the flows of differing buckets are offered by their
 // fingerprints, and only those that the keeper lacks are sent whole.
 type offer struct {
-	id     uint64
-	keeper string
-	flows  []heldFlow
+	id      uint64
+	purpose offerPurpose
+	keeper  string
+	flows   []heldFlow
 	// stage is what is sent next, or was sent and is not answered.
 	stage offerStage
 	// sentAt is when it was sent; 0 is not yet.
 	sentAt uint32
 }
 
+// offerPurpose is what waits for an offer to be answered.
+type offerPurpose uint8
+
+const (
+	// purposePhase: the duty of a phase.
+	purposePhase offerPurpose = iota
+	// purposeMark: a leaving mark.
+	purposeMark
+	// purposeRejoin: nothing waits.
+	purposeRejoin
+)
+
 type offerStage uint8
 
 const (
@@ -51,7 +64,7 @@
 // offerFlows lists flows for the keepers of the target epoch and starts to
 // send them, as fast as the budget allows. What this node keeps itself is
 // recorded at once.
-func (core *Core) offerFlows(flows []heldFlow) {
+func (core *Core) offerFlows(purpose offerPurpose, flows []heldFlow) {
 	byKeeper := make(map[string][]heldFlow)
 	for _, held := range flows {
 		for _, keeper := range keepersFor(core.pendingKeeper, held.key) {
@@ -63,11 +76,30 @@
 		}
 	}
 	for _, keeper := range sortedKeys(byKeeper) {
-		if len(byKeeper[keeper]) < digestMinimum {
-			core.queueOffers(keeper, byKeeper[keeper])
+		if len(byKeeper[keeper]) < digestMinimum || purpose == purposeMark {
+			core.queueOffers(purpose, keeper, byKeeper[keeper])
 			continue
 		}
-		core.queueOffer(&offer{keeper: keeper, flows: byKeeper[keeper], stage: stageDigest})
+		core.queueOffer(&offer{purpose: purpose, keeper: keeper, flows: byKeeper[keeper], stage: stageDigest})
+	}
+}
+
+// outstanding reports whether an offer of a purpose is unanswered.
+func (core *Core) outstanding(purpose offerPurpose) bool {
+	for _, waiting := range core.offers {
+		if waiting.purpose == purpose {
+			return true
+		}
+	}
+	return false
+}
+
+// dropOffers forgets the offers of a purpose.
+func (core *Core) dropOffers(purpose offerPurpose) {
+	for id, waiting := range core.offers {
+		if waiting.purpose == purpose {
+			delete(core.offers, id)
+		}
 	}
 }
 
@@ -77,10 +109,10 @@
 	}
 }
 
-func (core *Core) queueOffers(keeper string, flows []heldFlow) {
+func (core *Core) queueOffers(purpose offerPurpose, keeper string, flows []heldFlow) {
 	for len(flows) > 0 {
 		count := min(core.config.OfferSize, len(flows))
-		core.queueOffer(&offer{keeper: keeper, flows: flows[:count], stage: stageFingerprints})
+		core.queueOffer(&offer{purpose: purpose, keeper: keeper, flows: flows[:count], stage: stageFingerprints})
 		flows = flows[count:]
 	}
 }
@@ -219,7 +251,7 @@
 			differing = append(differing, held)
 		}
 	}
-	core.queueOffers(from, differing)
+	core.queueOffers(waiting.purpose, from, differing)
 	core.tickOffers()
 }
 
--- a/internal/core/phase.go
+++ b/internal/core/phase.go
@@ -19,8 +19,7 @@
 
 func (core *Core) startDuty() {
 	core.duty = duty{viewVersion: core.viewVersion + 1}
-	core.offers = make(map[uint64]*offer)
-	core.offerQueue = nil
+	core.dropOffers(purposePhase)
 	core.viewChanged = true
 }
 
@@ -29,7 +28,7 @@
 func (core *Core) tickDuty() {
 	if core.rejoining && core.settled != nil && core.pending == nil {
 		core.rejoining = false
-		core.offerFlows(core.displacedFlows())
+		core.offerFlows(purposeRejoin, core.displacedFlows())
 	}
 	if core.pending == nil || core.duty.done || core.viewInForce < core.duty.viewVersion {
 		return
@@ -38,7 +37,7 @@
 		core.duty.started = true
 		core.listFlows()
 	}
-	if len(core.offers) > 0 || core.phase == router.PhaseFlipped && !core.hasPendingFilters() {
+	if core.outstanding(purposePhase) || core.phase == router.PhaseFlipped && !core.hasPendingFilters() {
 		return
 	}
 	core.duty.done = true
@@ -48,9 +47,9 @@
 func (core *Core) listFlows() {
 	switch core.phase {
 	case router.PhaseLearned:
-		core.offerFlows(core.embryonicFlows())
+		core.offerFlows(purposePhase, core.embryonicFlows(rule.NoBackend))
 	case router.PhaseActive:
-		core.offerFlows(core.displacedFlows())
+		core.offerFlows(purposePhase, core.displacedFlows())
 	}
 }
 
@@ -60,15 +59,23 @@
 	backend uint32
 }
 
-// embryonicFlows are the flows opened here so lately that their SYN may come
-// again elsewhere, and on which the rules differ.
-func (core *Core) embryonicFlows() []heldFlow {
+// offerEmbryonic records the flows opened here lately at one back end.
+func (core *Core) offerEmbryonic(backend uint32) {
+	core.offerFlows(purposeMark, core.embryonicFlows(backend))
+}
+
+// embryonicFlows are the flows opened here of which nothing but the SYN has been
+// seen, so lately that it may come again elsewhere, and on which the rules differ; with a back end, only those
+// that it holds.
+func (core *Core) embryonicFlows(backend uint32) []heldFlow {
 	retry := milliseconds(core.config.SynRetryTime)
 	var flows []heldFlow
 	for shard := range flowtable.ShardCount {
 		core.flows.Visit(shard, func(key flow.Key, entry flowtable.Entry) bool {
-			young := entry.Flags&flowtable.FlagOpenedHere != 0 && core.now-entry.Opened <= retry
-			if young && core.view.Ambiguous(key, key.Hash()) {
+			opening := entry.Flags&(flowtable.FlagOpenedHere|flowtable.FlagEstablished) == flowtable.FlagOpenedHere
+			young := opening && core.now-entry.LastSeen <= retry
+			wanted := backend == rule.NoBackend || backend == entry.Backend
+			if young && wanted && core.view.Ambiguous(key, key.Hash()) {
 				flows = append(flows, heldFlow{key: key, backend: entry.Backend})
 			}
 			return true
--- a/internal/flowtable/flowtable.go
+++ b/internal/flowtable/flowtable.go
@@ -34,8 +34,8 @@
 	FlagOpenedHere Flags = 1 << iota
 	// FlagClosed is set when a FIN or RST was seen.
 	FlagClosed
-	// FlagUnrecorded is set when a binding could not be recorded yet.
-	FlagUnrecorded
+	// FlagEstablished is set when a packet other than a SYN was seen.
+	FlagEstablished
 )
 
 type shard struct {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -58,6 +58,8 @@
 	InForce []time.Duration
 	// WeightChanges counts the changes of weights by the policy.
 	WeightChanges int
+	// Traces are the histories of broken flows, when the settings ask for them.
+	Traces [][]string
 	// Violation is the first promise that did not hold, "" for none.
 	Violation string
 	// Imbalance has one sample a second for the first service.
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -7,6 +7,27 @@
 	"github.com/stretchr/testify/require"
 )
 
+// TestMarkAndResentSyn: a back end is marked during a store outage while many
+// SYNs come again through other nodes.
+func TestMarkAndResentSyn(t *testing.T) {
+	for seed := range uint64(4) {
+		settings := small(seed + 1)
+		settings.Network.AnswerLoss = 0.5
+		settings.Services[0].Arrivals = 150
+		settings.Trace = true
+		world := New(settings)
+		world.At(25*time.Second, func() { world.StoreOutage(true) })
+		for place := range 3 {
+			at := time.Duration(30+10*place) * time.Second
+			world.At(at, func() { world.DrainByMark(0, place, world.Nodes()[place]) })
+		}
+		world.Clock.RunUntil(70 * time.Second)
+		require.NoError(t, world.Check())
+		require.Zero(t, world.Result.SecondBackend, "seed %d: %v", seed+1, world.Result.Traces)
+		require.Zero(t, world.Result.TotalBroken(), "seed %d: %v", seed+1, world.Result.Broken)
+	}
+}
+
 func TestQuietRun(t *testing.T) {
 	world := New(DarAlWarraq(1).Scale(0.15))
 	world.Clock.RunUntil(40 * time.Second)
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -214,6 +214,7 @@
 	}
 	verdict := node.router.Decide(node.now(), arrived.flow.key, arrived.flow.hash, arrived.flags)
 	node.world.Result.Paths[verdict.Path]++
+	node.trace(arrived, verdict)
 	switch verdict.Action {
 	case router.ActionForward:
 		node.forward(arrived, verdict.Backend)
@@ -258,10 +259,27 @@
 		if _, found := node.router.Table().Get(resolution.Key, hash); !found {
 			node.router.Learn(node.now(), resolution.Key, hash, resolution.Backend, arrived.flags)
 		}
+		node.world.traceFlow(arrived.flow, "%s resolved to %d", node.id, resolution.Backend)
 		node.forward(arrived, resolution.Backend)
 	}
 }
 
+// trace notes a decision in the flow's history.
+func (node *node) trace(arrived packet, verdict router.Verdict) {
+	if node.world.settings.Trace {
+		view := node.router.View()
+		node.world.traceFlow(arrived.flow, "%s flags %d: %s action %d back end %d proposal %d bind %t (settled %d, %s, active %v, known %v)",
+			node.id, arrived.flags, verdict.Path, verdict.Action, verdict.Backend, verdict.Proposal, verdict.Bind,
+			view.Settled.Number, view.Phase, view.ActiveMarks, view.KnownMarks)
+	}
+}
+
+func (world *World) traceFlow(traced *simFlow, format string, values ...any) {
+	if world.settings.Trace {
+		traced.history = append(traced.history, fmt.Sprintf("%s ", world.Clock.Now())+fmt.Sprintf(format, values...))
+	}
+}
+
 // resume lets a paused node go on, traffic first.
 func (node *node) resume() {
 	node.paused = false
--- a/internal/lab/settings.go
+++ b/internal/lab/settings.go
@@ -42,6 +42,9 @@
 	ClientDelay time.Duration
 	// Jitter is added to each delay, uniformly up to this much.
 	Jitter time.Duration
+	// AnswerLoss is the probability that the answer to a SYN is lost, so that the
+	// caller sends the SYN again.
+	AnswerLoss float64
 	// Loss and Duplicate are probabilities for messages between nodes.
 	Loss, Duplicate float64
 }
@@ -71,7 +74,9 @@
 	// TickInterval is how often a node's control state is ticked.
 	TickInterval time.Duration
 	FlowCapacity int
-	Reports      ReportSettings
+	// Trace keeps the history of each flow, for the search of a cause.
+	Trace   bool
+	Reports ReportSettings
 }
 
 // Scale multiplies the flows of all services.
@@ -113,6 +118,7 @@
 			OtherZone:   1500 * time.Microsecond,
 			ClientDelay: client,
 			Jitter:      300 * time.Microsecond,
+			AnswerLoss:  0.02,
 			Loss:        0.001,
 			Duplicate:   0.001,
 		},
--- a/internal/lab/traffic.go
+++ b/internal/lab/traffic.go
@@ -22,6 +22,8 @@
 	zone        string
 	// double is set for flows that carry a Return Notice or a purchase.
 	double bool
+	// history is kept when the settings ask for traces.
+	history []string
 }
 
 // packet is one packet on its way.
@@ -159,8 +161,11 @@
 	switch {
 	case held.ended:
 	case held.holder == target:
+		world.answerSyn(held)
 	case held.holder != nil:
 		world.Result.SecondBackend++
+		world.traceFlow(held, "SYN at second back end %d, held by %d", target.id, held.holder.id)
+		world.Result.Traces = append(world.Result.Traces, held.history)
 	default:
 		held.holder = target
 		target.open++
@@ -170,14 +175,26 @@
 			world.Result.LeavingDelays = append(world.Result.LeavingDelays, world.Clock.Now()-target.leavingAt)
 		}
 		world.open[held] = struct{}{}
-		world.Clock.After(world.settings.Network.ClientDelay, func() {
-			held.established = true
-			world.Result.Established++
-			world.nextPacket(held)
-		})
+		world.answerSyn(held)
 	}
 }
 
+// answerSyn lets the caller know that its flow is open, unless the answer is
+// lost.
+func (world *World) answerSyn(held *simFlow) {
+	if world.Clock.Random.Float64() < world.settings.Network.AnswerLoss {
+		return
+	}
+	world.Clock.After(world.settings.Network.ClientDelay, func() {
+		if held.established {
+			return
+		}
+		held.established = true
+		world.Result.Established++
+		world.nextPacket(held)
+	})
+}
+
 // nextPacket plans the next packet of a flow: data, or its end.
 func (world *World) nextPacket(held *simFlow) {
 	wait := world.Clock.Exponential(held.service.settings.PacketInterval)
@@ -216,6 +233,7 @@
 	}
 	delete(world.open, held)
 	world.Result.Broken[cause]++
+	world.Result.Traces = append(world.Result.Traces, held.history)
 	world.Result.BrokenWeighted++
 	if held.double {
 		world.Result.BrokenWeighted++
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -144,10 +144,7 @@
 	if view == nil {
 		return Verdict{Action: ActionDrop, Path: PathDroppedNotReady}
 	}
-	mark := flowtable.Flags(0)
-	if flags&PacketCloses != 0 {
-		mark = flowtable.FlagClosed
-	}
+	mark := flagsOf(flags)
 	if flags&PacketOpens != 0 {
 		if entry, found := router.table.Get(key, hash); found && reusable(view, entry, now) {
 			router.table.Delete(key, hash)
@@ -159,6 +156,18 @@
 	return router.decideUnknown(view, now, key, hash, flags)
 }
 
+// flagsOf gives what a packet shows of its flow.
+func flagsOf(flags PacketFlags) flowtable.Flags {
+	var mark flowtable.Flags
+	if flags&PacketCloses != 0 {
+		mark |= flowtable.FlagClosed
+	}
+	if flags&PacketOpens == 0 {
+		mark |= flowtable.FlagEstablished
+	}
+	return mark
+}
+
 // reusable reports whether a SYN on an existing entry opens a new flow.
 func reusable(view *View, entry flowtable.Entry, now uint32) bool {
 	if now-entry.LastSeen < reuseAfter {
@@ -213,12 +222,9 @@
 // Learn enters a flow in the table after a decision. A full table leaves the
 // flow out; its next packet is decided anew, with the same outcome.
 func (router *Router) Learn(now uint32, key flow.Key, hash uint64, backend uint32, flags PacketFlags) {
-	entry := flowtable.Entry{Backend: backend, Opened: now, LastSeen: now}
+	entry := flowtable.Entry{Backend: backend, Opened: now, LastSeen: now, Flags: flagsOf(flags)}
 	if flags&PacketOpens != 0 {
 		entry.Flags |= flowtable.FlagOpenedHere
 	}
-	if flags&PacketCloses != 0 {
-		entry.Flags |= flowtable.FlagClosed
-	}
 	router.table.Put(key, hash, entry)
 }
--- /dev/null
+++ b/model/leaving.pml
@@ -0,0 +1,97 @@
+/*
+ * Leaving marks during a store outage: one flow whose settled back end (1) has
+ * been marked as leaving; the rule without it chooses back end 2.
+ *
+ * Each of two nodes learns the mark (state 1) at its own time, records the
+ * flows opened there whose SYN may come again, and heeds the mark (state 2)
+ * when both have done so. The bound on the time is modelled by that condition:
+ * within it, both nodes in contact have learned the mark.
+ *
+ * Properties: one back end for the flow; a node that heeds the mark opens no
+ * new flow at the leaving back end.
+ */
+
+#define NODES 2
+#define MARKED 1
+#define OTHER  2
+
+byte state[NODES];
+bool recorded[NODES];
+byte table[NODES];
+bool opener[NODES];
+bool deciding[NODES];
+byte record;
+byte holder;
+byte syns, datas;
+
+inline deliver(backend, opens) {
+	if
+	:: holder == 0 && opens -> holder = backend
+	:: holder != 0 -> assert(holder == backend)
+	:: else -> skip
+	fi
+}
+
+#ifdef NO_WAIT
+#define allRecorded (true)
+#else
+#define allRecorded (recorded[0] && recorded[1])
+#endif
+
+proctype Node(byte me) {
+	byte chosen, proposal;
+	bool opens, asks, heeds;
+	do
+	:: atomic { state[me] == 0 -> state[me] = 1 }
+	:: atomic { state[me] == 1 && !recorded[me] && !deciding[me] ->
+#ifndef NO_EMBRYONIC
+		if
+		:: opener[me] && table[me] != 0 && record == 0 -> record = table[me]
+		:: else -> skip
+		fi;
+#endif
+		recorded[me] = true }
+	:: atomic { state[me] == 1 && recorded[me] && allRecorded -> state[me] = 2 }
+	:: atomic { !deciding[me] && (syns < 3 || (holder != 0 && datas < 2)) ->
+		if
+		:: syns < 3 -> syns++; opens = true
+		:: holder != 0 && datas < 2 -> datas++; opens = false
+		fi;
+		deciding[me] = true;
+		asks = false;
+		heeds = (state[me] == 2);
+		if
+		:: table[me] != 0 -> chosen = table[me]
+		:: table[me] == 0 && state[me] == 0 -> chosen = MARKED
+		:: table[me] == 0 && state[me] > 0 ->
+			asks = true;
+			if
+			:: opens && state[me] == 2 -> proposal = OTHER
+			:: else -> proposal = MARKED
+			fi;
+#ifdef NO_BIND
+			asks = !opens;
+			chosen = proposal;
+#endif
+		fi }
+	:: atomic { deciding[me] && asks ->
+		if
+		:: record == 0 -> record = proposal
+		:: else -> skip
+		fi;
+		chosen = record;
+		asks = false }
+	:: atomic { deciding[me] && !asks ->
+		/* A flow that is new everywhere must not go to the marked back end. */
+		assert(!(heeds && opens && table[me] == 0 && holder == 0 && record == OTHER && chosen == MARKED));
+		if
+		:: table[me] == 0 -> table[me] = chosen; opener[me] = opens
+		:: else -> chosen = table[me]
+		fi;
+		deliver(chosen, opens);
+		deciding[me] = false }
+	:: syns == 3 && datas == 2 && !deciding[me] -> break
+	od
+}
+
+init { atomic { run Node(0); run Node(1) } }
