Take cut-off zones back and start a lost group anew; prove the guards in Go

Cause 1: a zone cut off for longer than 30 s was forgotten by the others and, since it no longer introduced itself, never taken back. Red: TestLongCutHeals. Cause 2: nothing went on when all members had been replaced at once. Red: TestWholeGroupReplaced. A sign of life in the store now tells a lost group from a cut; no promise rests on it alone. Cause 3: when a cut heals, packets meet nodes that follow the old rule, and flows opened meanwhile are not recorded.

--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -82,6 +82,9 @@
 	// It keeps a zone that is cut off in service; flows it opens while the
 	// rest changes the rule may break when the cut heals.
 	ServeIsolated bool
+
+	// Without removes guards, for proofs only; leave it 0.
+	Without Guard
 }
 
 // DefaultConfig suits one group over zones a few milliseconds apart.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,6 +33,8 @@
 	ServeIsolated bool
 	// Resolutions answer questions of the traffic goroutines.
 	Resolutions []Resolution
+	// TouchGroup asks for the sign of life in the store to be changed.
+	TouchGroup bool
 	// Write is to be tried at the store; nil when there is none.
 	Write *DocumentWrite
 }
@@ -68,7 +70,12 @@
 	phase         router.Phase
 	completed     router.Phase
 	duty          duty
-	rejoining     bool
+	// rejoining is set while this node is cut off or fenced, until it has
+	// listed its flows; rejoinUntil bounds the time for recording them.
+	rejoining   bool
+	rejoinUntil uint32
+	// holdSince is when a live peer began to rejoin; 0 is not.
+	holdSince uint32
 	// fenceVersion is the document version whose fencing must be known to a
 	// majority before a fenced member is no longer waited for.
 	fenceVersion uint64
@@ -115,6 +122,7 @@
 	// ownRecorded is the epoch for which recordOwnFlows has run.
 	ownRecorded uint64
 	expiry      expiryState
+	recovery    recoveryState
 	nextID      uint64
 	loopback    []*apiv1.Envelope
 }
@@ -146,6 +154,7 @@
 	core.advanceTime(now)
 	core.tickMembership()
 	core.tickHeldBack()
+	core.tickHold()
 	core.tickMarks()
 	core.tickAsks()
 	core.tickReplications()
@@ -155,6 +164,7 @@
 	core.tickExpiry()
 	core.tickPhase()
 	core.tickPublish()
+	core.tickRecovery()
 }
 
 // Step handles a message of a peer. Messages of other incarnations than the
@@ -264,7 +274,7 @@
 		return
 	}
 	core.out.FreshUntil = core.freshUntil()
-	core.out.ServeIsolated = core.config.ServeIsolated && core.isolated()
+	core.out.ServeIsolated = core.config.ServeIsolated && core.isolated() && !core.heardAhead()
 	if !core.viewChanged && core.view != nil {
 		return
 	}
@@ -272,6 +282,7 @@
 		Settled:     core.settled,
 		Pending:     core.pending,
 		Phase:       core.phase,
+		HoldUnknown: core.holdsUnknown(),
 		ActiveMarks: core.activeMarks(),
 		KnownMarks:  core.knownMarks(),
 		Keepers:     core.settledKeeper,
--- a/internal/core/filter.go
+++ b/internal/core/filter.go
@@ -146,7 +146,7 @@
 func (core *Core) buildFilter(target *rule.Set) *bloom.BloomFilter {
 	var displaced []flow.Key
 	for key, kept := range core.records {
-		if displacedFrom(target, key, kept.backend) {
+		if displacedFrom(target, key, kept.backend) && !core.lacks(GuardFilter) {
 			displaced = append(displaced, key)
 		}
 	}
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -128,7 +128,7 @@
 	if kept != nil && !yields {
 		return kept.tentative && !replicated
 	}
-	if proposal == rule.NoBackend {
+	if proposal == rule.NoBackend || core.lacks(GuardBind) {
 		return false
 	}
 	core.setRecord(key, proposal, !replicated)
@@ -171,7 +171,7 @@
 // replicate sends new records to their other keeper. One that is not alive is
 // not waited for.
 func (core *Core) replicate(whole *replication, other string, created []flow.Key) {
-	if other == "" || other == core.self.GetId() || !core.alive(other) {
+	if other == "" || other == core.self.GetId() || !core.alive(other) || core.lacks(GuardReplicate) {
 		core.confirmRecords(created)
 		return
 	}
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -76,7 +76,11 @@
 }
 
 func (core *Core) tickMembership() {
-	if core.lastHeartbeat != 0 && core.now-core.lastHeartbeat < milliseconds(core.config.HeartbeatInterval) {
+	interval := milliseconds(core.config.HeartbeatInterval)
+	if core.document != nil && core.isolated() {
+		interval = min(interval, isolatedHeartbeat)
+	}
+	if core.lastHeartbeat != 0 && core.now-core.lastHeartbeat < interval {
 		return
 	}
 	core.lastHeartbeat = max(core.now, 1)
@@ -105,7 +109,8 @@
 	to.sentAt[to.sequence] = core.now
 	delete(to.sentAt, to.sequence-sentTimesKept)
 	heartbeat := &apiv1.Heartbeat{Sequence: to.sequence, Progress: core.progress()}
-	if !to.hasConfirmed || core.self.GetLeaving() {
+	silent := core.now-to.confirmed > milliseconds(core.config.FencingTime)
+	if !to.hasConfirmed || silent || core.self.GetLeaving() {
 		heartbeat.Member = core.self
 	}
 	core.send(to.member.GetId(), &apiv1.Envelope{Body: &apiv1.Envelope_Heartbeat{Heartbeat: heartbeat}})
@@ -215,6 +220,7 @@
 		MarksDigest:           core.marksDigest(),
 		CompletedMarksDigest:  core.completedMarksDigest(),
 		Suspects:              core.suspects(),
+		Rejoining:             core.isRejoining(),
 	}
 	members := core.members()
 	for _, id := range sortedKeys(core.peers) {
@@ -302,6 +308,9 @@
 // freshUntil is the end of the contact lease: FencingTime after the sending of
 // the heartbeats that a majority of the members has confirmed.
 func (core *Core) freshUntil() uint32 {
+	if core.lacks(GuardContact) {
+		return ^uint32(0)
+	}
 	var confirmed []uint32
 	members := core.members()
 	for id := range members {
--- a/internal/core/phase.go
+++ b/internal/core/phase.go
@@ -26,10 +26,7 @@
 // tickDuty works on what the phase asks for: nothing but records of flows is
 // needed to complete learned and active, and the filters to complete flipped.
 func (core *Core) tickDuty() {
-	if core.rejoining && core.settled != nil && core.pending == nil {
-		core.rejoining = false
-		core.offerFlows(purposeRejoin, core.displacedFlows())
-	}
+	core.tickRejoin()
 	if core.pending == nil || core.duty.done || core.viewInForce < core.duty.viewVersion {
 		return
 	}
@@ -68,6 +65,9 @@
 // seen, so lately that it may come again elsewhere, and on which the rules differ; with a back end, only those
 // that it holds.
 func (core *Core) embryonicFlows(backend uint32) []heldFlow {
+	if core.lacks(GuardEmbryonic) {
+		return nil
+	}
 	retry := milliseconds(core.config.SynRetryTime)
 	var flows []heldFlow
 	for shard := range flowtable.ShardCount {
@@ -87,6 +87,9 @@
 // displacedFlows are the flows in the table and among the kept records whose
 // back end differs from the target rule.
 func (core *Core) displacedFlows() []heldFlow {
+	if core.lacks(GuardRecord) {
+		return nil
+	}
 	var flows []heldFlow
 	for shard := range flowtable.ShardCount {
 		core.flows.Visit(shard, func(key flow.Key, entry flowtable.Entry) bool {
@@ -141,6 +144,9 @@
 
 // waitingFor lists the participants that have not completed the phase.
 func (core *Core) waitingFor(phase router.Phase) []string {
+	if core.lacks(GuardWait) {
+		return nil
+	}
 	var waiting []string
 	participants := core.participants()
 	for _, id := range sortedKeys(participants) {
--- a/internal/core/publish.go
+++ b/internal/core/publish.go
@@ -85,10 +85,10 @@
 // RecoveryTime. Without this, the two sides of a cut would take turns in
 // publishing epochs that name only themselves.
 func (core *Core) mayPublish() bool {
-	if core.document == nil || core.now <= core.freshUntil() {
+	if core.document == nil || core.now <= core.freshUntil() || core.lacks(GuardPublish) {
 		return true
 	}
-	return core.isMember() && core.lostMajority(core.members())
+	return core.isMember() && core.lostMajority(core.members()) || core.groupLost()
 }
 
 // publishDelay is this node's back-off: its rank among the live members, and
@@ -120,6 +120,9 @@
 	}
 	next := proto.CloneOf(core.document)
 	next.Version++
+	if core.groupLost() {
+		return core.restartGroup(next)
+	}
 	fence := core.membersToFence()
 	next.Fenced = append(next.Fenced, fence...)
 	if core.pending != nil {
@@ -242,18 +245,6 @@
 	return votes
 }
 
-// lostMajority reports whether most members have been silent for RecoveryTime.
-func (core *Core) lostMajority(members map[string]*apiv1.Member) bool {
-	silent := 0
-	for id := range members {
-		known := core.peers[id]
-		if known != nil && core.now-known.lastHeard > milliseconds(core.config.RecoveryTime) {
-			silent++
-		}
-	}
-	return silent*2 >= len(members)
-}
-
 // desiredServices are the desired rules with the known marks applied: a marked
 // back end is leaving until the operators have cleared the mark.
 func (core *Core) desiredServices() []*apiv1.ServiceRule {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -31,6 +31,8 @@
 	KindRules Kind = "rules"
 	// KindWritten: a write of the document has ended.
 	KindWritten Kind = "written"
+	// KindAlive: the group's sign of life in the store has changed.
+	KindAlive Kind = "alive"
 	// KindLeave: this node is to stop as planned.
 	KindLeave Kind = "leave"
 )
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -184,6 +184,8 @@
 		return "the node was out of contact with its group and did not know the flow"
 	case router.PathDroppedNotReady:
 		return "the node or the service was not ready"
+	case router.PathDroppedRejoin:
+		return "a node that was cut off was recording its flows; the packet came again later"
 	case router.PathDroppedKeepers:
 		return "the keepers did not answer in time"
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -45,3 +45,42 @@
 	}
 	require.Zero(t, result.TotalBroken())
 }
+
+// TestWholeGroupReplaced: all nodes die at once and others take their place.
+func TestWholeGroupReplaced(t *testing.T) {
+	world := New(small(1))
+	world.Clock.RunUntil(30 * time.Second)
+	for _, id := range world.Nodes() {
+		world.Kill(id)
+	}
+	for range 2 {
+		for _, zone := range world.settings.Zones {
+			world.Start(zone)
+		}
+	}
+	world.Clock.RunUntil(100 * time.Second)
+	world.Drain(0, 1)
+	world.Clock.RunUntil(130 * time.Second)
+	require.NoError(t, world.Check())
+	for _, node := range world.nodes {
+		if node.running() {
+			require.Equal(t, uint64(2), node.inForce(), describe(node))
+		}
+	}
+}
+
+// TestLongCutHeals: a zone that is cut off longer than the others remember its
+// nodes is taken back.
+func TestLongCutHeals(t *testing.T) {
+	world := New(small(1))
+	world.At(30*time.Second, func() { world.CutZone("nasr", true) })
+	world.At(40*time.Second, func() { world.Reweigh(0, 1, 40) })
+	world.At(90*time.Second, func() { world.CutZone("nasr", false) })
+	world.Clock.RunUntil(115 * time.Second)
+	require.NoError(t, world.Check())
+	for _, node := range world.nodes {
+		require.Equal(t, "fresh", node.core.Contact(), describe(node))
+		require.Equal(t, uint64(2), node.inForce(), describe(node))
+		require.Len(t, node.core.Document().GetSettled().GetMembers(), 6)
+	}
+}
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -34,6 +34,7 @@
 	controlBytes   uint64
 	bytesByKind    map[string]uint64
 	rates          []float64
+	alive          uint64
 	startedAt      time.Duration
 	acceptedAt     map[uint64]time.Duration
 }
@@ -71,6 +72,7 @@
 	added.meetOthers()
 	added.readStore()
 	added.tick()
+	added.watchAlive()
 	return added
 }
 
@@ -96,13 +98,34 @@
 	node.world.Clock.After(node.world.settings.TickInterval, node.tick)
 }
 
+// reachesStore reports whether the store answers the node; a zone that is cut
+// off does not reach it.
+func (node *node) reachesStore() bool {
+	reached := !node.world.cuts[node.zone] || node.world.settings.Store.ReachedFromCuts
+	return reached && !node.world.store.down
+}
+
+// watchAlive reads the group's sign of life now and then.
+func (node *node) watchAlive() {
+	if node.dead {
+		return
+	}
+	if alive := node.world.store.alive; alive != node.alive && node.reachesStore() && !node.paused {
+		node.alive = alive
+		node.core.ObserveGroupAlive(node.now())
+	}
+	node.world.Clock.After(aliveInterval, node.watchAlive)
+}
+
+const aliveInterval = 5 * time.Second
+
 func (node *node) now() uint32 { return node.world.Clock.Milliseconds() }
 
 // readStore reads both values after the store's delay.
 func (node *node) readStore() {
 	world := node.world
 	world.Clock.After(2*world.settings.Store.Delay, func() {
-		if world.store.down || !node.running() {
+		if !node.reachesStore() || !node.running() {
 			return
 		}
 		if world.store.document != nil {
@@ -136,8 +159,11 @@
 	for _, resolution := range out.Resolutions {
 		node.resolve(resolution)
 	}
+	if out.TouchGroup && node.reachesStore() {
+		node.world.store.alive++
+	}
 	if out.Write != nil {
-		node.world.store.write(out.Write.Document, func(written bool) {
+		node.world.store.write(node, out.Write.Document, func(written bool) {
 			if !node.running() {
 				return
 			}
--- a/internal/lab/settings.go
+++ b/internal/lab/settings.go
@@ -53,6 +53,8 @@
 type StoreSettings struct {
 	// Delay is the one-way delay to the store.
 	Delay time.Duration
+	// ReachedFromCuts lets a zone that is cut off reach the store.
+	ReachedFromCuts bool
 	// LostAnswers is the probability that a write's answer is lost.
 	LostAnswers float64
 	// WatchDelay is how much later a watcher sees a change.
--- a/internal/lab/store.go
+++ b/internal/lab/store.go
@@ -18,16 +18,18 @@
 	down bool
 	// writes and conflicts count compare-and-swaps.
 	writes, conflicts int
+	// alive counts the changes of the group's sign of life.
+	alive uint64
 	// slow is added to every answer.
 	slow time.Duration
 }
 
 // write tries a compare-and-swap of the document. The answer may be lost after
 // the write took effect; done is then called with false.
-func (store *store) write(document *apiv1.EpochDocument, done func(bool)) {
+func (store *store) write(writer *node, document *apiv1.EpochDocument, done func(bool)) {
 	world := store.world
 	world.Clock.After(world.settings.Store.Delay+store.slow, func() {
-		if store.down {
+		if !writer.reachesStore() {
 			world.Clock.After(time.Second, func() { done(false) })
 			return
 		}
@@ -50,12 +52,9 @@
 // from them.
 func (world *World) notify() {
 	world.Clock.After(world.settings.Store.WatchDelay, func() {
-		if world.store.down {
-			return
-		}
 		watchers := make(map[string]int)
 		for _, node := range world.nodes {
-			if !node.running() || watchers[node.zone] >= watchersPerZone {
+			if !node.running() || !node.reachesStore() || watchers[node.zone] >= watchersPerZone {
 				continue
 			}
 			watchers[node.zone]++
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -93,6 +93,8 @@
 	switch event.Kind {
 	case events.KindWritten:
 		node.core.WriteDone(node.now(), event.Result)
+	case events.KindAlive:
+		node.core.ObserveGroupAlive(node.now())
 	case events.KindLeave:
 		node.core.Leave(node.now())
 	}
@@ -151,6 +153,9 @@
 		node.plane.Answer(dataplane.Answer{
 			Key: resolution.Key, Backend: resolution.Backend, Recorded: resolution.Recorded})
 	}
+	if out.TouchGroup {
+		go node.touchGroup(ctx)
+	}
 	if out.Write != nil {
 		go node.writeDocument(ctx, out.Write.Document)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,6 +127,7 @@
 	start("admin", node.serveAdmin)
 	start("watch document", node.watchDocument)
 	start("watch configuration", node.watchConfiguration)
+	start("watch alive", node.watchAlive)
 	start("machines", node.pollMachines)
 	start("reports", node.pollReports)
 	start("expiry", node.expireFlows)
--- a/internal/node/storewatch.go
+++ b/internal/node/storewatch.go
@@ -24,6 +24,7 @@
 	retryMinimum    = 300 * time.Millisecond
 	retryMaximum    = 5 * time.Second
 	machinesPeriod  = 2 * time.Second
+	alivePeriod     = 5 * time.Second
 )
 
 // DocumentKey is the store's key of a group's document.
@@ -98,6 +99,38 @@
 	return node.store.Get(ctx, key)
 }
 
+// AliveKey is the store's key of a group's sign of life.
+func AliveKey(group string) string { return "indigobarrow." + group + ".alive" }
+
+// touchGroup changes the group's sign of life.
+func (node *Node) touchGroup(ctx context.Context) {
+	key := AliveKey(node.settings.GetGroup())
+	value, err := node.store.Get(ctx, key)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return
+	}
+	_ = node.store.CompareAndSwap(ctx, key, value.Version, []byte(node.self.GetId()))
+}
+
+// watchAlive reads the sign of life while the node is out of contact.
+func (node *Node) watchAlive(ctx context.Context) error {
+	var seen uint64
+	for ctx.Err() == nil {
+		pause(ctx, jitter(alivePeriod))
+		if node.ready.Load() {
+			continue
+		}
+		value, err := node.store.Get(ctx, AliveKey(node.settings.GetGroup()))
+		if err == nil && value.Version != seen {
+			seen = value.Version
+			if err := node.bus.Publish(events.Event{Kind: events.KindAlive}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // writeDocument tries a compare-and-swap and reads back what stands. A write
 // whose fate is unknown is thereby found out.
 func (node *Node) writeDocument(ctx context.Context, document *apiv1.EpochDocument) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -54,6 +54,8 @@
 	PathDroppedNotReady
 	// PathDroppedKeepers: the keepers did not answer in time.
 	PathDroppedKeepers
+	// PathDroppedRejoin: a node that was cut off is recording its flows.
+	PathDroppedRejoin
 	// PathCount is the number of paths.
 	PathCount
 )
@@ -61,7 +63,7 @@
 var pathNames = [PathCount]string{
 	"local", "settled", "pending", "keeper", "refused_overload",
 	"refused_no_backend", "refused_no_service", "dropped_no_contact",
-	"dropped_not_ready", "dropped_keepers",
+	"dropped_not_ready", "dropped_keepers", "dropped_rejoin",
 }
 
 // String names the path, as in metrics and explanations.
@@ -194,6 +196,9 @@
 	if opens && router.table.Full(hash, refusePercent) {
 		return Verdict{Action: ActionRefuse, Path: PathRefusedOverload}
 	}
+	if !opens && view.HoldUnknown {
+		return Verdict{Action: ActionDrop, Path: PathDroppedRejoin}
+	}
 	result := service.choose(hash)
 	if opens && result.proposal == rule.NoBackend {
 		return Verdict{Action: ActionRefuse, Path: PathRefusedNoBackend}
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -44,6 +44,9 @@
 	Settled *rule.Set
 	Pending *rule.Set
 	Phase   Phase
+	// HoldUnknown drops packets of unknown flows that are open already: a node
+	// that was cut off is about to record such flows.
+	HoldUnknown bool
 	// ActiveMarks are the back ends that new flows avoid already.
 	ActiveMarks map[uint32]bool
 	// KnownMarks are all marked back ends.
