Keep a record's keepers through a fencing

Cause: fencing a node changed who keeps a record under the epoch in force, so the first keeper asked was one that had never had it, and its filter lacked it. Green: the choice of keepers is the epoch's; the dead one is passed over and the next epoch chooses anew. Ruled out: the death of the only node that knew the flow (five knew it).

--- a/internal/core/document.go
+++ b/internal/core/document.go
@@ -131,7 +131,9 @@
 	}
 }
 
-// keepersOfDocument computes who keeps records under each epoch.
+// keepersOfDocument computes who keeps records under each epoch. Fencing does
+// not change the choice: the records are where they were, and the other keeper
+// of each has a copy. The next epoch chooses anew.
 func (core *Core) keepersOfDocument() {
 	core.settledKeeper = core.keepersOf(core.document.GetSettled())
 	core.pendingKeeper = core.settledKeeper
@@ -143,9 +145,7 @@
 func (core *Core) keepersOf(epoch *apiv1.Epoch) *router.Keepers {
 	zones := make(map[string]string)
 	for _, member := range epoch.GetMembers() {
-		if !core.fenced(member) {
-			zones[member.GetId()] = member.GetZone()
-		}
+		zones[member.GetId()] = member.GetZone()
 	}
 	return router.NewKeepers(zones)
 }
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -84,3 +84,21 @@
 		require.Len(t, node.core.Document().GetSettled().GetMembers(), 6)
 	}
 }
+
+// TestKillDuringDrain: a keeper that dies while a back end leaves takes no
+// record with it, since the other keeper has a copy.
+func TestKillDuringDrain(t *testing.T) {
+	for seed := range uint64(6) {
+		settings := small(seed + 1)
+		settings.Trace = true
+		settings.Services[0].WarmFlows = 1500
+		settings.Services[0].MeanDuration = time.Minute
+		world := New(settings)
+		world.At(30*time.Second, func() { world.Drain(0, 1) })
+		world.At(30*time.Second+200*time.Millisecond, func() { world.Kill(world.Nodes()[0]) })
+		world.At(45*time.Second, func() { world.Start("maadi") })
+		world.Clock.RunUntil(70 * time.Second)
+		require.NoError(t, world.Check())
+		require.Zero(t, world.Result.TotalBroken(), "seed %d: %v", seed+1, world.Result.Traces)
+	}
+}
