--- a/cmd/indigobarrow/lab.go
+++ b/cmd/indigobarrow/lab.go
@@ -17,8 +17,6 @@
 	"github.com/indigobarrow/indigobarrow/internal/lab"
 )
 
-func capacityCommand() *cli.Command { return &cli.Command{Name: "capacity"} }
-
 func labCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "lab",
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -17,12 +17,32 @@
 	return peer.member.GetPeerAddress()
 }
 
-// WatchRank is this node's place among the live nodes of its zone in the order
-// of their IDs. The lowest ranks watch the store; the others hear from them.
+// WatchRank is this node's place among the nodes it hears, in an order that
+// takes the zones in turn. The lowest ranks watch the store; the others hear
+// from them.
 func (core *Core) WatchRank() int {
+	inZone := core.rankInZone(core.self)
 	rank := 0
 	for id, known := range core.peers {
-		if known.member.GetZone() == core.self.GetZone() && id < core.self.GetId() && core.alive(id) {
+		if !core.alive(id) {
+			continue
+		}
+		other := core.rankInZone(known.member)
+		if other < inZone || other == inZone && known.member.GetZone() < core.self.GetZone() {
+			rank++
+		}
+	}
+	return rank
+}
+
+// rankInZone is a node's place among the nodes of its zone by ID.
+func (core *Core) rankInZone(member *apiv1.Member) int {
+	rank := 0
+	if member.GetZone() == core.self.GetZone() && core.self.GetId() < member.GetId() {
+		rank++
+	}
+	for id, known := range core.peers {
+		if known.member.GetZone() == member.GetZone() && id < member.GetId() && core.alive(id) {
 			rank++
 		}
 	}
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -150,3 +150,25 @@
 
 // Open returns the number of open flows.
 func (world *World) Open() int { return len(world.open) }
+
+// SentBytes is the control traffic of all nodes since the start of the run.
+func (world *World) SentBytes() uint64 {
+	total := uint64(0)
+	for _, node := range world.nodes {
+		for _, bytes := range node.bytesByKind {
+			total += bytes
+		}
+	}
+	return total
+}
+
+// SettledRevision is the configuration of the settled epoch in the store.
+func (world *World) SettledRevision() uint64 {
+	return world.store.document.GetSettled().GetConfigurationRevision()
+}
+
+// StoreWrites is the number of writes of the document.
+func (world *World) StoreWrites() int { return world.store.writes }
+
+// ZoneOf is the zone of a node.
+func (world *World) ZoneOf(id string) string { return world.byID[id].zone }
--- a/internal/lab/store.go
+++ b/internal/lab/store.go
@@ -48,19 +48,17 @@
 	})
 }
 
-// notify tells the watchers: two nodes of each zone watch, the others learn
+// notify tells the watchers, the nodes of the lowest ranks; the others learn
 // from them.
 func (world *World) notify() {
 	world.Clock.After(world.settings.Store.WatchDelay, func() {
-		watchers := make(map[string]int)
 		for _, node := range world.nodes {
-			if !node.running() || !node.reachesStore() || watchers[node.zone] >= watchersPerZone {
+			if !node.running() || !node.reachesStore() || node.core.WatchRank() >= watchersPerGroup {
 				continue
 			}
-			watchers[node.zone]++
 			node.readStore()
 		}
 	})
 }
 
-const watchersPerZone = 2
+const watchersPerGroup = 3
--- a/internal/node/storewatch.go
+++ b/internal/node/storewatch.go
@@ -16,15 +16,15 @@
 )
 
 const (
-	// watchersPerZone nodes of each zone watch the store; the others hear the
-	// news from them and only read now and then.
-	watchersPerZone = 2
-	readInterval    = 20 * time.Second
-	rankInterval    = time.Second
-	retryMinimum    = 300 * time.Millisecond
-	retryMaximum    = 5 * time.Second
-	machinesPeriod  = 2 * time.Second
-	alivePeriod     = 5 * time.Second
+	// watchersPerGroup nodes watch the store; the others hear the news from them
+	// and read for themselves only now and then, or when out of contact.
+	watchersPerGroup = 3
+	readInterval     = 5 * time.Minute
+	rankInterval     = time.Second
+	retryMinimum     = 300 * time.Millisecond
+	retryMaximum     = 5 * time.Second
+	machinesPeriod   = 2 * time.Second
+	alivePeriod      = 5 * time.Second
 )
 
 // DocumentKey is the store's key of a group's document.
@@ -86,13 +86,13 @@
 	if version == 0 {
 		return node.store.Get(ctx, key)
 	}
-	if node.watchRank.Load() < watchersPerZone {
+	if node.watchRank.Load() < watchersPerGroup {
 		return node.store.Watch(ctx, key, version)
 	}
 	deadline := time.Now().Add(jitter(readInterval))
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		pause(ctx, rankInterval)
-		if node.watchRank.Load() < watchersPerZone {
+		if node.watchRank.Load() < watchersPerGroup || !node.ready.Load() {
 			break
 		}
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -46,7 +46,7 @@
 
 const (
 	requestTimeout = 2 * time.Second
-	watchTimeout   = 20 * time.Second
+	watchTimeout   = 60 * time.Second
 	maximumValue   = 8 << 20
 )
 
