--- /dev/null
+++ b/internal/change/change_test.go
@@ -0,0 +1,119 @@
+package change
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+)
+
+func lending() *apiv1.Service {
+	return &apiv1.Service{Name: "lending", Address: "10.200.0.1", Port: 80, Team: "library", Backends: []*apiv1.Backend{
+		{Name: "lending-0", TunnelAddress: "127.0.0.1:6080"}, {Name: "lending-1", TunnelAddress: "127.0.0.2:6080"}}}
+}
+
+func putRequest(id string, service *apiv1.Service) *apiv1.ChangeRequest {
+	return &apiv1.ChangeRequest{OperationId: id, Author: "amina", Change: &apiv1.ChangeRequest_PutService{PutService: service}}
+}
+
+func drainRequest(id, backend string, leaving bool) *apiv1.ChangeRequest {
+	return &apiv1.ChangeRequest{OperationId: id, Author: "amina", Change: &apiv1.ChangeRequest_Drain{
+		Drain: &apiv1.DrainRequest{Service: "lending", Backend: backend, Leaving: leaving}}}
+}
+
+func must(t *testing.T, configuration *apiv1.Configuration, request *apiv1.ChangeRequest, made Context) *apiv1.Configuration {
+	next, problem := Apply(configuration, request, made)
+	require.Nil(t, problem)
+	return next
+}
+
+func TestApply(t *testing.T) {
+	made := Context{Now: time.Unix(1000, 0), MarkIncarnations: map[uint32]uint64{1: 4}}
+	first := must(t, nil, putRequest("one", lending()), made)
+	require.Equal(t, uint64(1), first.GetRevision())
+	require.Equal(t, uint32(1), first.GetServices()[0].GetBackends()[0].GetId())
+	drained := must(t, first, drainRequest("two", "lending-0", true), made)
+	require.True(t, drained.GetServices()[0].GetBackends()[0].GetLeaving())
+	require.False(t, first.GetServices()[0].GetBackends()[0].GetLeaving(), "the old configuration is not changed")
+	back := must(t, drained, drainRequest("three", "lending-0", false), made)
+	require.Equal(t, uint64(4), back.GetServices()[0].GetBackends()[0].GetClearedMark())
+	require.Equal(t, uint64(2), Find(back, "two").GetRevision())
+	require.Nil(t, Find(back, "four"))
+}
+
+func TestProblems(t *testing.T) {
+	made := Context{Now: time.Unix(1000, 0)}
+	base := must(t, nil, putRequest("one", lending()), made)
+	changed := func(edit func(*apiv1.Service)) *apiv1.ChangeRequest {
+		service := lending()
+		edit(service)
+		return putRequest("x", service)
+	}
+	stale := drainRequest("x", "lending-0", true)
+	stale.BaseRevision = 7
+	cases := map[string]struct {
+		request     *apiv1.ChangeRequest
+		code, field string
+	}{
+		"no operation":     {drainRequest("", "lending-0", true), CodeInvalid, "operation_id"},
+		"stale base":       {stale, CodeConflict, "base_revision"},
+		"no change":        {&apiv1.ChangeRequest{OperationId: "x"}, CodeInvalid, "change"},
+		"unknown service":  {&apiv1.ChangeRequest{OperationId: "x", Change: &apiv1.ChangeRequest_DeleteService{DeleteService: "no"}}, CodeNotFound, "service"},
+		"unknown back end": {drainRequest("x", "no", true), CodeNotFound, "backend"},
+		"bad address":      {changed(func(s *apiv1.Service) { s.Name, s.Address = "b", "10.200.0" }), CodeInvalid, "address"},
+		"used address":     {changed(func(s *apiv1.Service) { s.Name = "b" }), CodeInvalid, "address"},
+		"new address":      {changed(func(s *apiv1.Service) { s.Port = 81 }), CodeInvalid, "address"},
+		"bad tunnel":       {changed(func(s *apiv1.Service) { s.Backends[0].TunnelAddress = "x" }), CodeInvalid, "backends.tunnel_address"},
+		"moved tunnel":     {changed(func(s *apiv1.Service) { s.Backends[0].TunnelAddress = "127.0.0.9:1" }), CodeInvalid, "tunnel_address"},
+		"twice the name":   {changed(func(s *apiv1.Service) { s.Backends[0].Name = "lending-1" }), CodeInvalid, "backends.name"},
+		"removed":          {changed(func(s *apiv1.Service) { s.Backends = s.Backends[:1] }), CodeInvalid, "backends"},
+		"unknown policy":   {changed(func(s *apiv1.Service) { s.Policy = "no" }), CodeInvalid, "policy"},
+		"still serving":    {&apiv1.ChangeRequest{OperationId: "x", Change: &apiv1.ChangeRequest_DeleteService{DeleteService: "lending"}}, CodeInvalid, "service"},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, problem := Apply(base, test.request, made)
+			require.NotNil(t, problem)
+			require.Equal(t, test.code, problem.GetCode())
+			require.Equal(t, test.field, problem.GetField())
+			require.NotEmpty(t, problem.GetRemedy())
+		})
+	}
+}
+
+func TestLastBackendCannotLeave(t *testing.T) {
+	base := must(t, nil, putRequest("one", lending()), Context{})
+	base = must(t, base, drainRequest("two", "lending-0", true), Context{})
+	_, problem := Apply(base, drainRequest("three", "lending-1", true), Context{})
+	require.Equal(t, "is the last one that takes new flows", problem.GetMessage())
+}
+
+// TestAddressWaitsForRelease: an address goes to another service only when every
+// node has settled the configuration without it.
+func TestAddressWaitsForRelease(t *testing.T) {
+	base := must(t, nil, putRequest("one", lending()), Context{})
+	for _, backend := range base.GetServices()[0].GetBackends() {
+		backend.Leaving = true
+	}
+	deletion := &apiv1.ChangeRequest{OperationId: "two", Change: &apiv1.ChangeRequest_DeleteService{DeleteService: "lending"}}
+	released := must(t, base, deletion, Context{})
+	covers := lending()
+	covers.Name = "covers"
+	_, problem := Apply(released, putRequest("three", covers), Context{SettledRevision: 1, WaitingFor: []string{"giza-3"}})
+	require.Equal(t, CodeUnavailable, problem.GetCode())
+	require.Contains(t, problem.GetMessage(), "giza-3")
+	must(t, released, putRequest("three", covers), Context{SettledRevision: 2})
+}
+
+func TestTeamLimits(t *testing.T) {
+	team := &apiv1.ChangeRequest{OperationId: "t", Change: &apiv1.ChangeRequest_PutTeam{
+		PutTeam: &apiv1.Team{Name: "library", MaximumServices: 1, MaximumBackends: 2, MaximumChangesPerMinute: 3}}}
+	base := must(t, nil, team, Context{})
+	base = must(t, base, putRequest("one", lending()), Context{Now: time.Unix(1000, 0)})
+	second := lending()
+	second.Name, second.Port = "second", 81
+	_, problem := Apply(base, putRequest("two", second), Context{Now: time.Unix(1000, 0)})
+	require.Equal(t, CodeLimit, problem.GetCode())
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -123,6 +123,7 @@
 	ownRecorded uint64
 	expiry      expiryState
 	recovery    recoveryState
+	purge       purgeState
 	nextID      uint64
 	loopback    []*apiv1.Envelope
 }
@@ -158,6 +159,7 @@
 	core.tickMarks()
 	core.tickAsks()
 	core.tickReplications()
+	core.tickPurge()
 	core.tickDuty()
 	core.tickOffers()
 	core.tickFilters()
--- a/internal/core/document.go
+++ b/internal/core/document.go
@@ -54,6 +54,7 @@
 			return
 		}
 	}
+	core.notePurge(document, settled, pending)
 	wasMember := core.document != nil && core.isMember()
 	if len(document.GetFenced()) > len(core.document.GetFenced()) {
 		core.fenceVersion = document.GetVersion()
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -148,6 +148,53 @@
 	})
 }
 
+// MoveAddress deletes the last service and gives its address to a new one with
+// the back ends of the first service, when the release has settled. Flows of
+// the deleted service end with it.
+func (world *World) MoveAddress() {
+	last := len(world.services) - 1
+	leaver := world.services[last]
+	for held := range world.open {
+		if held.service == leaver {
+			world.closeFlow(held)
+		}
+	}
+	leaver.deleted = true
+	world.change(func(configuration *apiv1.Configuration) {
+		configuration.Services = configuration.Services[:last]
+	})
+	released := world.store.configuration.GetRevision()
+	var wait func()
+	wait = func() {
+		if world.SettledRevision() < released {
+			world.Clock.After(100*time.Millisecond, wait)
+			return
+		}
+		world.takeAddress(leaver)
+	}
+	wait()
+}
+
+func (world *World) takeAddress(leaver *service) {
+	taker := &service{settings: leaver.settings, address: leaver.address, index: len(world.services)}
+	taker.settings.Name = "successor"
+	described := &apiv1.Service{Name: "successor", Port: 80, Address: fmt.Sprintf("10.200.%d.%d", leaver.index>>8, byte(leaver.index+1))}
+	number := world.store.configuration.GetNextBackendId()
+	for place := range 2 {
+		added := &backend{id: number + uint32(place), name: fmt.Sprintf("successor-%d", place),
+			zone: world.settings.Zones[place], service: taker, startedAt: world.Clock.Now()}
+		taker.backends = append(taker.backends, added)
+		world.backends[added.id] = added
+		described.Backends = append(described.Backends, &apiv1.Backend{Id: added.id, Name: added.name, Zone: added.zone})
+	}
+	world.services = append(world.services, taker)
+	world.change(func(configuration *apiv1.Configuration) {
+		configuration.NextBackendId += 2
+		configuration.Services = append(configuration.Services, described)
+	})
+	world.startTraffic(taker)
+}
+
 // Open returns the number of open flows.
 func (world *World) Open() int { return len(world.open) }
 
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/indigobarrow/indigobarrow/internal/core"
 )
 
 // TestMarkAndResentSyn: a back end is marked during a store outage while many
@@ -102,3 +104,26 @@
 		require.Zero(t, world.Result.TotalBroken(), "seed %d: %v", seed+1, world.Result.Traces)
 	}
 }
+
+// addressMove lets an address go to another service while a node sleeps.
+func addressMove(without core.Guard) *World {
+	settings := small(1)
+	settings.Services[1].Arrivals = 60
+	settings.Core.Without = without
+	world := New(settings)
+	world.At(30*time.Second, func() { world.Pause(world.Nodes()[2]) })
+	world.At(31*time.Second, world.MoveAddress)
+	world.At(50*time.Second, func() { world.Resume(world.Nodes()[2]) })
+	world.Clock.RunUntil(90 * time.Second)
+	return world
+}
+
+// TestAddressMoves: no packet for the new service reaches a back end of the old
+// one, and it does when a node that slept trusts its old view.
+func TestAddressMoves(t *testing.T) {
+	world := addressMove(0)
+	require.NoError(t, world.Check())
+	require.Zero(t, world.Result.WrongService)
+	require.Greater(t, world.services[2].backends[0].opened, 50, "the new service must be served")
+	require.Positive(t, addressMove(core.GuardContact).Result.WrongService, "without contact")
+}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/admin"
@@ -17,13 +16,9 @@
 	"github.com/indigobarrow/indigobarrow/internal/events"
 	"github.com/indigobarrow/indigobarrow/internal/flow"
 	"github.com/indigobarrow/indigobarrow/internal/policy"
-	"github.com/indigobarrow/indigobarrow/internal/store"
 )
 
-const (
-	adminHeaderTimeout = 5 * time.Second
-	changeAttempts     = 5
-)
+const adminHeaderTimeout = 5 * time.Second
 
 // serveAdmin serves the administration API and the metrics.
 func (node *Node) serveAdmin(ctx context.Context) error {
@@ -72,51 +67,24 @@
 	return explanation, nil
 }
 
-// Change implements admin.Backend: it reads the configuration, applies the
-// change and writes it under compare-and-swap. A write whose fate is unknown
-// is found out by looking for the operation in what stands.
+// Change implements admin.Backend.
 func (node *Node) Change(ctx context.Context, request *apiv1.ChangeRequest) (*apiv1.ChangeAnswer, error) {
-	key := ConfigurationKey(node.settings.GetGroup())
-	for range changeAttempts {
-		current, err := node.readConfiguration(ctx, key)
-		if err != nil {
-			return node.changeWithoutStore(ctx, request, err)
-		}
-		if accepted := change.Find(current, request.GetOperationId()); accepted != nil {
-			return &apiv1.ChangeAnswer{Revision: accepted.GetRevision(), RepeatedOperation: true,
-				Message: "this operation had been accepted before"}, nil
-		}
-		next, problem := change.Apply(current, request, node.changeContext(ctx))
-		if problem != nil {
-			return nil, problem
-		}
-		data, err := proto.Marshal(next)
-		if err != nil {
-			return nil, errors.Wrap(err, "configuration: encode")
-		}
-		err = node.store.CompareAndSwap(ctx, key, current.GetRevision(), data)
-		if err == nil {
-			_ = node.bus.Publish(events.Event{Kind: events.KindConfiguration, Body: next})
-			return &apiv1.ChangeAnswer{Revision: next.GetRevision(), Message: "accepted"}, nil
-		}
-		node.logger.Warn("Configuration not written.", "part", "admin", "error", err)
-		pause(ctx, jitter(retryMinimum))
+	writer := &change.Writer{
+		Store:  node.store,
+		Key:    ConfigurationKey(node.settings.GetGroup()),
+		Logger: node.logger.With("part", "admin"),
 	}
-	return nil, change.NewProblem(change.CodeUnknown, "operation_id", request.GetOperationId(),
-		"the store did not confirm the change; it may have taken effect",
-		"repeat it with the same operation ID: it is applied at most once")
-}
-
-func (node *Node) readConfiguration(ctx context.Context, key string) (*apiv1.Configuration, error) {
-	value, err := node.store.Get(ctx, key)
-	if errors.Is(err, store.ErrNotFound) {
-		return nil, nil
+	answer, written, err := writer.Apply(ctx, request, node.changeContext(ctx))
+	if errors.Is(err, change.ErrStore) {
+		return node.changeWithoutStore(ctx, request, err)
 	}
 	if err != nil {
 		return nil, err
 	}
-	configuration := &apiv1.Configuration{}
-	return configuration, errors.Wrap(proto.Unmarshal(value.Data, configuration), "configuration: decode")
+	if written != nil {
+		err = node.bus.Publish(events.Event{Kind: events.KindConfiguration, Body: written})
+	}
+	return answer, err
 }
 
 // changeWithoutStore still lets a back end leave at once; all else must wait.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -148,6 +148,9 @@
 	}
 	mark := flagsOf(flags)
 	if flags&PacketOpens != 0 {
+		if !router.Fresh(now) && !router.serveIsolated.Load() {
+			return Verdict{Action: ActionDrop, Path: PathDroppedNoContact}
+		}
 		if entry, found := router.table.Get(key, hash); found && reusable(view, entry, now) {
 			router.table.Delete(key, hash)
 		}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -114,6 +114,7 @@
 	known, unknown := testKey(1), testKey(2)
 	require.Equal(t, ActionForward, router.Decide(10, known, known.Hash(), PacketOpens).Action)
 	require.Equal(t, ActionForward, router.Decide(2000, known, known.Hash(), 0).Action, "a known flow goes on")
+	require.Equal(t, PathDroppedNoContact, router.Decide(2000, known, known.Hash(), PacketOpens).Path, "its ports may be used anew")
 	require.Equal(t, PathDroppedNoContact, router.Decide(2000, unknown, unknown.Hash(), PacketOpens).Path)
 	require.Equal(t, PathDroppedNoContact, router.Decide(2000, unknown, unknown.Hash(), 0).Path)
 	router.SetContact(1000, true)
