--- a/cmd/indigobarrow/change.go
+++ b/cmd/indigobarrow/change.go
@@ -7,7 +7,6 @@
 	"encoding/hex"
 	"fmt"
 	"os"
-	"sort"
 	"strconv"
 	"strings"
 
@@ -18,7 +17,6 @@
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/change"
-	"github.com/indigobarrow/indigobarrow/internal/policy"
 )
 
 // apply sends a change and prints the answer.
@@ -162,83 +160,6 @@
 	}
 }
 
-func policyCommand() *cli.Command {
-	return &cli.Command{
-		Name:  "policy",
-		Usage: "policy programs",
-		Commands: []*cli.Command{
-			{Name: "list", Usage: "list the policies", Flags: clientFlags(), Action: listPolicies},
-			{Name: "default", Usage: "show the default policy", Action: func(context.Context, *cli.Command) error {
-				return printJSON(policy.Default())
-			}},
-			{Name: "check", Usage: "check a policy file without applying it", ArgsUsage: "FILE",
-				Action: func(_ context.Context, command *cli.Command) error {
-					wanted, err := readPolicy(command)
-					if err != nil {
-						return err
-					}
-					return tryPolicy(wanted)
-				}},
-			{Name: "apply", Usage: "create or replace a policy from a JSON file", ArgsUsage: "FILE", Flags: changeFlags(),
-				Action: func(ctx context.Context, command *cli.Command) error {
-					wanted, err := readPolicy(command)
-					if err != nil {
-						return err
-					}
-					return apply(ctx, command, &apiv1.ChangeRequest{Change: &apiv1.ChangeRequest_PutPolicy{PutPolicy: wanted}})
-				}},
-		},
-	}
-}
-
-func readPolicy(command *cli.Command) (*apiv1.Policy, error) {
-	path, err := argument(command, 0, "FILE")
-	if err != nil {
-		return nil, err
-	}
-	wanted := &apiv1.Policy{}
-	return wanted, readFile(path, wanted)
-}
-
-// tryPolicy checks a policy and shows what it says of the samples.
-func tryPolicy(wanted *apiv1.Policy) error {
-	if err := policy.Check(wanted); err != nil {
-		return change.NewProblem(change.CodeInvalid, "policy", wanted.GetName(), err.Error(), "mend the expression")
-	}
-	program, err := policy.Compile(wanted)
-	if err != nil {
-		return err
-	}
-	names := []string{"well", "loaded", "cold", "sick", "silent"}
-	rows := newTable("SAMPLE", "WEIGHT", "LEAVING", "LOAD TRUST")
-	for index, sample := range policy.Samples() {
-		outcome, err := program.Evaluate(sample)
-		if err != nil {
-			return err
-		}
-		rows.row(names[index], fmt.Sprintf("%.2f", outcome.Weight), strconv.FormatBool(outcome.Leaving),
-			fmt.Sprintf("%.2f", outcome.LoadTrust))
-	}
-	return rows.flush()
-}
-
-func listPolicies(ctx context.Context, command *cli.Command) error {
-	configuration, err := client(command).Configuration(ctx)
-	if err != nil {
-		return err
-	}
-	if asJSON(command) {
-		return printJSON(configuration)
-	}
-	policies := configuration.GetPolicies()
-	sort.Slice(policies, func(i, j int) bool { return policies[i].GetName() < policies[j].GetName() })
-	rows := newTable("POLICY", "WEIGHT", "LEAVING", "LOAD TRUST")
-	for _, known := range append([]*apiv1.Policy{policy.Default()}, policies...) {
-		rows.row(known.GetName(), known.GetWeight(), known.GetLeaving(), known.GetLoadTrust())
-	}
-	return rows.flush()
-}
-
 func tokenCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "token",
--- a/cmd/indigobarrow/status.go
+++ b/cmd/indigobarrow/status.go
@@ -89,13 +89,16 @@
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name: "explain", Usage: "why a flow went where it went", ArgsUsage: "SOURCE:PORT-DESTINATION:PORT",
-		Flags:  clientFlags(),
+		Flags:  clientFlags(&cli.BoolFlag{Name: "recent", Usage: "list the flows of the node's newest decisions instead"}),
 		Action: explainFlow,
 	}
 }
 
 // explainFlow asks the node and all its live peers.
 func explainFlow(ctx context.Context, command *cli.Command) error {
+	if command.Bool("recent") {
+		return listRecent(ctx, command)
+	}
 	flow, err := argument(command, 0, "FLOW")
 	if err != nil {
 		return err
@@ -127,6 +130,18 @@
 	return nil
 }
 
+func listRecent(ctx context.Context, command *cli.Command) error {
+	recent, err := client(command).Recent(ctx)
+	if err != nil {
+		return err
+	}
+	if asJSON(command) {
+		return printJSON(recent)
+	}
+	fmt.Println(strings.Join(recent.GetFlows(), "\n"))
+	return nil
+}
+
 func printExplanation(explanation *apiv1.Explanation) {
 	fmt.Printf("node %s: %d decisions; %s\n", explanation.GetNode(), len(explanation.GetDecisions()),
 		strings.TrimPrefix(explanation.GetNote(), "; "))
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -33,6 +33,10 @@
 	Status(ctx context.Context) (*apiv1.NodeStatus, error)
 	// Explain tells what the node knows of a flow.
 	Explain(ctx context.Context, key flow.Key) (*apiv1.Explanation, error)
+	// Facts tells what the node knows of the back ends.
+	Facts(ctx context.Context) (*apiv1.FactsReport, error)
+	// Recent lists the flows of the node's newest decisions.
+	Recent(count int) *apiv1.RecentFlows
 	// Ready reports whether the node can serve.
 	Ready() bool
 	// SetLogLevel changes the level of the logs.
@@ -64,6 +68,8 @@
 	mux.HandleFunc("GET /v1/configuration", api.guard(apiv1.Role_ROLE_VIEWER, api.configuration))
 	mux.HandleFunc("GET /v1/status", api.guard(apiv1.Role_ROLE_VIEWER, api.status))
 	mux.HandleFunc("GET /v1/decisions", api.guard(apiv1.Role_ROLE_VIEWER, api.decisions))
+	mux.HandleFunc("GET /v1/recent-flows", api.guard(apiv1.Role_ROLE_VIEWER, api.recent))
+	mux.HandleFunc("GET /v1/facts", api.guard(apiv1.Role_ROLE_VIEWER, api.facts))
 	mux.HandleFunc("POST /v1/changes", api.guard(apiv1.Role_ROLE_EDITOR, api.change))
 	mux.HandleFunc("PUT /v1/log-level", api.guard(apiv1.Role_ROLE_ADMINISTRATOR, api.logLevel))
 	mux.HandleFunc("GET /healthz", func(writer http.ResponseWriter, _ *http.Request) {
@@ -159,6 +165,22 @@
 	api.answer(writer, http.StatusOK, status)
 }
 
+func (api *API) facts(writer http.ResponseWriter, request *http.Request, _ caller) {
+	report, err := api.backend.Facts(request.Context())
+	if err != nil {
+		api.fail(writer, asProblem(err))
+		return
+	}
+	api.answer(writer, http.StatusOK, report)
+}
+
+// recentCount bounds the flows listed.
+const recentCount = 20
+
+func (api *API) recent(writer http.ResponseWriter, _ *http.Request, _ caller) {
+	api.answer(writer, http.StatusOK, api.backend.Recent(recentCount))
+}
+
 func (api *API) decisions(writer http.ResponseWriter, request *http.Request, _ caller) {
 	text := request.URL.Query().Get("flow")
 	key, err := flow.Parse(text)
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -42,6 +42,18 @@
 	return answer, client.do(ctx, http.MethodGet, "/v1/status", nil, answer)
 }
 
+// Facts reads what a node knows of the back ends.
+func (client *Client) Facts(ctx context.Context) (*apiv1.FactsReport, error) {
+	answer := &apiv1.FactsReport{}
+	return answer, client.do(ctx, http.MethodGet, "/v1/facts", nil, answer)
+}
+
+// Recent lists the flows of a node's newest decisions.
+func (client *Client) Recent(ctx context.Context) (*apiv1.RecentFlows, error) {
+	answer := &apiv1.RecentFlows{}
+	return answer, client.do(ctx, http.MethodGet, "/v1/recent-flows", nil, answer)
+}
+
 // Explain asks the node about a flow.
 func (client *Client) Explain(ctx context.Context, flow string) (*apiv1.Explanation, error) {
 	answer := &apiv1.Explanation{}
--- a/internal/change/change_test.go
+++ b/internal/change/change_test.go
@@ -107,6 +107,19 @@
 	must(t, released, putRequest("three", covers), Context{SettledRevision: 2})
 }
 
+func TestPolicyRollback(t *testing.T) {
+	put := func(id, weight string) *apiv1.ChangeRequest {
+		return &apiv1.ChangeRequest{OperationId: id, Change: &apiv1.ChangeRequest_PutPolicy{PutPolicy: &apiv1.Policy{Name: "p", Weight: weight}}}
+	}
+	back := &apiv1.ChangeRequest{OperationId: "back", Change: &apiv1.ChangeRequest_RollbackPolicy{RollbackPolicy: "p"}}
+	base := must(t, nil, put("one", "0.5"), Context{})
+	_, problem := Apply(base, back, Context{})
+	require.Equal(t, CodeNotFound, problem.GetCode())
+	base = must(t, must(t, base, put("two", "0.6"), Context{}), back, Context{})
+	require.Equal(t, "0.5", FindPolicy(base, "p").GetWeight())
+	require.Equal(t, uint64(3), base.GetRevision())
+}
+
 func TestTeamLimits(t *testing.T) {
 	team := &apiv1.ChangeRequest{OperationId: "t", Change: &apiv1.ChangeRequest_PutTeam{
 		PutTeam: &apiv1.Team{Name: "library", MaximumServices: 1, MaximumBackends: 2, MaximumChangesPerMinute: 3}}}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"sync"
 	"time"
 
@@ -110,6 +111,28 @@
 	return explanation
 }
 
+// Recent lists the flows of the newest decisions, newest first.
+func (memory *Memory) Recent(count int) []string {
+	var newest []record
+	for index := range memory.rings {
+		part := &memory.rings[index]
+		part.mutex.Lock()
+		for back := 1; back <= min(count, len(part.records)); back++ {
+			place := (part.next - back + len(part.records)) % len(part.records)
+			if place < part.next || part.full {
+				newest = append(newest, part.records[place])
+			}
+		}
+		part.mutex.Unlock()
+	}
+	sort.SliceStable(newest, func(i, j int) bool { return newest[i].at > newest[j].at })
+	var flows []string
+	for _, found := range newest[:min(count, len(newest))] {
+		flows = append(flows, found.key.String())
+	}
+	return flows
+}
+
 func (memory *Memory) time(at uint32) time.Time {
 	return memory.started.Add(time.Duration(at) * time.Millisecond)
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -28,6 +28,7 @@
 	key, err := flow.Parse("10.64.0.5:40000-10.200.0.1:80")
 	require.NoError(t, err)
 	memory.Decided(1500, key, router.PathKeeper, 1)
+	require.Equal(t, []string{key.String()}, memory.Recent(5))
 	explanation := memory.Explain("maadi-1", key)
 	require.Len(t, explanation.GetDecisions(), 1)
 	decision := explanation.GetDecisions()[0]
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -57,12 +58,17 @@
 	return nil
 }
 
+// Recent implements admin.Backend.
+func (node *Node) Recent(count int) *apiv1.RecentFlows {
+	return &apiv1.RecentFlows{Node: node.self.GetId(), Flows: node.memory.Recent(count)}
+}
+
 // Explain implements admin.Backend.
 func (node *Node) Explain(_ context.Context, key flow.Key) (*apiv1.Explanation, error) {
 	explanation := node.memory.Explain(node.self.GetId(), key)
 	if entry, found := node.table.Get(key, key.Hash()); found {
-		explanation.Note += "; this node's flow table holds the flow"
-		_ = entry
+		silent := time.Duration(node.now()-entry.LastSeen) * time.Millisecond
+		explanation.Note += fmt.Sprintf("; this node's flow table has it at back end #%d, last seen %s ago", entry.Backend, silent)
 	}
 	return explanation, nil
 }
--- a/internal/node/facts.go
+++ b/internal/node/facts.go
@@ -267,6 +267,31 @@
 	}
 }
 
+// Facts implements admin.Backend.
+func (node *Node) Facts(ctx context.Context) (*apiv1.FactsReport, error) {
+	report := &apiv1.FactsReport{Node: node.self.GetId()}
+	var weights map[uint32]uint32
+	if err := node.query(ctx, func(control *core.Core) { weights = weightsInForce(control.Document()) }); err != nil {
+		return nil, err
+	}
+	node.facts.mutex.Lock()
+	defer node.facts.mutex.Unlock()
+	for _, service := range node.facts.configuration.GetServices() {
+		mean := node.facts.meanLoad(service)
+		for _, backend := range service.GetBackends() {
+			if node.facts.reports[backend.GetId()] == nil {
+				continue
+			}
+			known := node.facts.of(backend, mean)
+			report.Backends = append(report.Backends, &apiv1.BackendFacts{
+				Service: service.GetName(), Backend: known.Name, Zone: known.Zone, MachineState: known.MachineState,
+				Healthy: known.Healthy, BadSeconds: known.BadSeconds, Load: known.Load, MeanLoad: known.MeanLoad,
+				ReportAge: known.ReportAge, UpSeconds: known.UpSeconds, Weight: weights[backend.GetId()], Policy: service.GetPolicy()})
+		}
+	}
+	return report, nil
+}
+
 // epochOf carries weights in an event.
 func epochOf(weights map[uint32]uint32) *apiv1.Epoch {
 	service := &apiv1.ServiceRule{}
