--- a/cmd/indigobarrow/capacity.go
+++ b/cmd/indigobarrow/capacity.go
@@ -22,12 +22,15 @@
 			Name:  "measure",
 			Usage: "measure the slopes anew (minutes) and write them to a file",
 			Flags: []cli.Flag{
-				&cli.IntFlag{Name: "groups", Value: 1000, Usage: "groups of 12 hollow nodes in the largest run"},
+				&cli.IntFlag{Name: "groups", Value: 1000, Usage: "groups of 12 hollow nodes in the largest run; 0 keeps the last run's figures"},
 				&cli.DurationFlag{Name: "length", Value: 40 * time.Second, Usage: "virtual time of the largest run, above 30 s"},
 				&cli.StringFlag{Name: "out", Value: "internal/capacity/slopes.json", Usage: "file"},
 			},
 			Action: func(_ context.Context, command *cli.Command) error {
 				slopes := capacity.Measure(os.Stderr, command.Int("groups"), command.Duration("length"))
+				if last, err := capacity.Measured(); err == nil && command.Int("groups") == 0 {
+					slopes.Hollow = last.Hollow
+				}
 				encoded, err := json.MarshalIndent(slopes, "", "  ")
 				if err != nil {
 					return errors.Wrap(err, "slopes")
--- a/cmd/indigobarrow/lab.go
+++ b/cmd/indigobarrow/lab.go
@@ -36,10 +36,31 @@
 				&cli.StringFlag{Name: "report", Usage: "file for an HTML report with plots"},
 			},
 			Action: runLab,
+		}, {
+			Name:  "trust",
+			Usage: "measure what load trust does to imbalance",
+			Flags: []cli.Flag{
+				&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed"},
+				&cli.Float64Flag{Name: "scale", Value: 0.3, Usage: "share of the flows"},
+			},
+			Action: runTrust,
 		}},
 	}
 }
 
+func runTrust(_ context.Context, command *cli.Command) error {
+	rows, err := lab.RunTrust(command.Uint64("seed"), command.Float64("scale"))
+	if err != nil {
+		return err
+	}
+	printed := newTable("REPORTS", "TRUST", "CV", "MAX/MEAN", "WEIGHT CHANGES", "B/S MEAN", "BROKEN")
+	for _, row := range rows {
+		printed.row(row.Reports, fmt.Sprintf("%.1f", row.Trust), fmt.Sprintf("%.3f", row.Variation), fmt.Sprintf("%.3f", row.Maximum),
+			fmt.Sprint(row.WeightChanges), fmt.Sprintf("%.0f", row.ControlMean), fmt.Sprint(row.Broken))
+	}
+	return printed.flush()
+}
+
 var errBrokenPromise = errors.New("a planned change broke flows, or a promise did not hold")
 
 func runLab(_ context.Context, command *cli.Command) error {
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -45,12 +45,16 @@
 }
 
 // Measure measures all slopes and reports its steps to out. The largest run has
-// so many groups of hollow nodes, for so long in virtual time.
+// so many groups of hollow nodes, for so long in virtual time; 0 leaves it out.
 func Measure(out io.Writer, groups int, length time.Duration) Slopes {
 	var slopes Slopes
 	measureRest(out, &slopes)
 	measureChange(out, &slopes)
+	measureChangeCPU(out, &slopes)
 	measureMemory(out, &slopes)
+	if groups == 0 {
+		return slopes
+	}
 	slopes.Hollow = RunHollow(out, groups, length)
 	return slopes
 }
@@ -86,7 +90,7 @@
 
 // measureChange runs a drain in groups with different numbers of open flows.
 func measureChange(out io.Writer, slopes *Slopes) {
-	var bytes, processor, settle []Point
+	var bytes, settle []Point
 	for _, flows := range []int{6000, 12_000, 24_000} {
 		settings := quietSettings(1, 4, 14)
 		settings.FlowCapacity = 100_000
@@ -94,28 +98,25 @@
 		settings.Services[0].MeanDuration = time.Hour
 		settings.Services[0].PacketInterval = 2 * time.Second
 		const start, length = 150 * time.Second, 60 * time.Second
-		quiet, quietCPU, _ := runDrain(settings, start, length, false)
-		changed, changedCPU, settled := runDrain(settings, start, length, true)
+		quiet, _ := runDrain(settings, start, length, false)
+		changed, settled := runDrain(settings, start, length, true)
 		nodes := float64(settings.NodesPerZone * len(settings.Zones))
 		displaced := float64(flows) / 14
 		bytes = append(bytes, Point{displaced, (changed - quiet) / nodes})
-		processor = append(processor, Point{float64(flows), max(0, (changedCPU-quietCPU).Seconds()/nodes)})
 		settle = append(settle, Point{displaced, settled.Seconds()})
-		fmt.Fprintf(out, "drain with %d flows in a group of %.0f: %.0f B and %.4f s of processor a node, settled after %s\n",
-			flows, nodes, bytes[len(bytes)-1].Value, processor[len(processor)-1].Value, settled)
+		fmt.Fprintf(out, "drain with %d flows in a group of %.0f: %.0f B a node, settled after %s\n",
+			flows, nodes, bytes[len(bytes)-1].Value, settled)
 		slopes.RecordBytesPerSecond = float64(settings.Core.RecordBytesPerSecond)
 	}
 	slopes.ChangeBytes = fit("B a displaced flow", bytes)
-	slopes.ChangeCPU = fit("s an open flow", processor)
 	slopes.SettleSeconds = fit("s a displaced flow", settle)
 }
 
-// runDrain returns the bytes and processor time from start on, and when the
-// drain had settled.
-func runDrain(settings lab.Settings, start, length time.Duration, drain bool) (sent float64, processor, settled time.Duration) {
+// runDrain returns the bytes from start on, and when the drain had settled.
+func runDrain(settings lab.Settings, start, length time.Duration, drain bool) (sent float64, settled time.Duration) {
 	world := lab.New(settings)
 	world.Clock.RunUntil(start)
-	before, cpu := world.SentBytes(), processorTime()
+	before := world.SentBytes()
 	if drain {
 		world.Drain(0, 3)
 	}
@@ -125,7 +126,33 @@
 			settled = world.Clock.Now() - start
 		}
 	}
-	return float64(world.SentBytes() - before), processorTime() - cpu, settled
+	return float64(world.SentBytes() - before), settled
+}
+
+// measureChangeCPU drains a back end in groups whose nodes hold different
+// numbers of flows, without traffic, and compares with rest.
+func measureChangeCPU(out io.Writer, slopes *Slopes) {
+	var processor []Point
+	for _, flows := range []int{50_000, 100_000, 200_000} {
+		settings := quietSettings(1, 4, 140)
+		settings.FlowCapacity = 400_000
+		world := lab.New(settings)
+		world.Clock.RunUntil(20 * time.Second)
+		world.Fill(flows)
+		used := func(until time.Duration) float64 {
+			runtime.GC()
+			start := processorTime()
+			world.Clock.RunUntil(until)
+			return (processorTime() - start).Seconds()
+		}
+		rest := used(35 * time.Second)
+		world.Drain(0, 3)
+		changed := used(50 * time.Second)
+		nodes := float64(settings.NodesPerZone * len(settings.Zones))
+		processor = append(processor, Point{float64(flows), (changed - rest) / nodes})
+		fmt.Fprintf(out, "drain with %d flows in every table: %.4f s of processor a node\n", flows, processor[len(processor)-1].Value)
+	}
+	slopes.ChangeCPU = fit("s an open flow", processor)
 }
 
 // measureMemory measures the flow table and the rules.
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -5,6 +5,8 @@
 	"time"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/flowtable"
 )
 
 // Nodes returns the IDs of the nodes that run, in the order of their start.
@@ -198,6 +200,22 @@
 // Open returns the number of open flows.
 func (world *World) Open() int { return len(world.open) }
 
+// Fill puts so many flows of the first service into every node's table, as if
+// all nodes had seen packets of all of them.
+func (world *World) Fill(count int) {
+	address := world.services[0].address
+	for number := range count {
+		key := flow.Key{Source: [4]byte{11, byte(number >> 16), byte(number >> 8), byte(number)}, SourcePort: 2000,
+			Destination: address.IP, DestinationPort: address.Port, Protocol: address.Protocol}
+		hash := key.Hash()
+		for _, node := range world.nodes {
+			entry := flowtable.Entry{Backend: node.router.View().Settled.Rule(address).Pick(hash), LastSeen: node.now()}
+			entry.Flags = flowtable.FlagEstablished
+			node.router.Table().Put(key, hash, entry)
+		}
+	}
+}
+
 // SentBytes is the control traffic of all nodes since the start of the run.
 func (world *World) SentBytes() uint64 {
 	total := uint64(0)
