--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -381,7 +381,11 @@
 }
 
 // Released reports whether no epoch names this node any more: what it held is
-// recorded elsewhere.
+// recorded elsewhere. When all live nodes are stopping, there is nobody to hand
+// over to.
 func (core *Core) Released() bool {
-	return core.self.GetLeaving() && core.document != nil && core.members()[core.self.GetId()] == nil
+	if !core.self.GetLeaving() {
+		return false
+	}
+	return core.document == nil || core.members()[core.self.GetId()] == nil || len(core.liveMembers()) == 0
 }
--- a/internal/core/publish.go
+++ b/internal/core/publish.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"sort"
 	"strings"
 
@@ -128,7 +129,7 @@
 	if core.pending != nil {
 		return core.nextOfPending(next, len(fence) > 0)
 	}
-	if !core.wantsEpoch() {
+	if !core.wantsEpoch() && len(fence) == 0 {
 		return nil
 	}
 	next.Pending = core.nextEpoch(core.document.GetSettled().GetNumber() + 1)
@@ -201,7 +202,7 @@
 func memberNames(members []*apiv1.Member) []string {
 	names := make([]string, 0, len(members))
 	for _, member := range members {
-		names = append(names, member.GetId()+"/"+member.GetPeerAddress())
+		names = append(names, fmt.Sprintf("%s/%s/%d", member.GetId(), member.GetPeerAddress(), member.GetIncarnation()))
 	}
 	sort.Strings(names)
 	return names
