Split large files and say things once

compile.Rules serves the emulator too; counts of callers and the test whether a revision is in force are one function each; changes of services, policies and teams, and the contact lease, have files of their own.

--- a/cmd/indigobarrow/status.go
+++ b/cmd/indigobarrow/status.go
@@ -33,7 +33,7 @@
 		if err != nil {
 			return err
 		}
-		missing := notInForce(status)
+		missing := admin.NotInForce(status)
 		if command.Bool("wait") && len(missing) > 0 && time.Now().Before(deadline) {
 			time.Sleep(statusPoll)
 			continue
@@ -48,20 +48,6 @@
 	}
 }
 
-// notInForce lists the live nodes on which the accepted revision is missing.
-func notInForce(status *apiv1.NodeStatus) []string {
-	var missing []string
-	if status.GetInForceRevision() < status.GetAcceptedRevision() {
-		missing = append(missing, status.GetId())
-	}
-	for _, peer := range status.GetPeers() {
-		if peer.GetAlive() && peer.GetInForceRevision() < status.GetAcceptedRevision() {
-			missing = append(missing, peer.GetId())
-		}
-	}
-	return missing
-}
-
 func printStatus(command *cli.Command, status *apiv1.NodeStatus) error {
 	if asJSON(command) {
 		return printJSON(status)
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -42,6 +42,21 @@
 	return answer, client.do(ctx, http.MethodGet, "/v1/status", nil, answer)
 }
 
+// NotInForce lists the live nodes on which the accepted revision is missing, as
+// one node sees it.
+func NotInForce(status *apiv1.NodeStatus) []string {
+	var missing []string
+	if status.GetInForceRevision() < status.GetAcceptedRevision() {
+		missing = append(missing, status.GetId())
+	}
+	for _, peer := range status.GetPeers() {
+		if peer.GetAlive() && peer.GetInForceRevision() < status.GetAcceptedRevision() {
+			missing = append(missing, peer.GetId())
+		}
+	}
+	return missing
+}
+
 // Facts reads what a node knows of the back ends.
 func (client *Client) Facts(ctx context.Context) (*apiv1.FactsReport, error) {
 	answer := &apiv1.FactsReport{}
--- /dev/null
+++ b/internal/change/team.go
@@ -0,0 +1,93 @@
+package change
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+)
+
+func putTeam(next *apiv1.Configuration, team *apiv1.Team) *Problem {
+	if team.GetName() == "" {
+		return invalid("name", "", "is missing", "name the team")
+	}
+	for _, known := range next.GetTeams() {
+		if known.GetName() == team.GetName() {
+			proto.Reset(known)
+			proto.Merge(known, team)
+			return nil
+		}
+	}
+	next.Teams = append(next.Teams, proto.CloneOf(team))
+	return nil
+}
+
+const hashSize = 32
+
+func putToken(next *apiv1.Configuration, token *apiv1.Token) *Problem {
+	if token.GetName() == "" || len(token.GetSha256()) != hashSize {
+		return invalid("token", token.GetName(), "lacks a name or a hash of 32 bytes", "send the name and the SHA-256 of the token's text")
+	}
+	if token.GetRole() == apiv1.Role_ROLE_EDITOR && token.GetTeam() == "" {
+		return invalid("team", "", "an editor belongs to a team", "name the team")
+	}
+	for _, known := range next.GetTokens() {
+		if known.GetName() == token.GetName() {
+			proto.Reset(known)
+			proto.Merge(known, token)
+			return nil
+		}
+	}
+	next.Tokens = append(next.Tokens, proto.CloneOf(token))
+	return nil
+}
+
+// checkLimits applies the limits of the team whose service is changed.
+func checkLimits(next *apiv1.Configuration, request *apiv1.ChangeRequest, context Context) *Problem {
+	name := request.GetPutService().GetTeam()
+	for _, team := range next.GetTeams() {
+		if team.GetName() != name {
+			continue
+		}
+		services, backends := 0, 0
+		for _, service := range next.GetServices() {
+			if service.GetTeam() == name {
+				services++
+				backends += len(service.GetBackends())
+			}
+		}
+		if over(services, team.GetMaximumServices()) {
+			return limit("services", services, team)
+		}
+		if over(backends, team.GetMaximumBackends()) {
+			return limit("backends", backends, team)
+		}
+		if recent := recentChanges(next, request.GetAuthor(), context.Now); over(recent+1, team.GetMaximumChangesPerMinute()) {
+			return limit("changes a minute", recent+1, team)
+		}
+	}
+	return nil
+}
+
+func over(count int, maximum uint32) bool {
+	return maximum > 0 && count > int(maximum)
+}
+
+func limit(what string, count int, team *apiv1.Team) *Problem {
+	return NewProblem(CodeLimit, "team", team.GetName(),
+		fmt.Sprintf("would have %d %s, above its limit", count, what),
+		"remove some, wait, or ask an administrator for a higher limit")
+}
+
+func recentChanges(next *apiv1.Configuration, author string, now time.Time) int {
+	since := now.Add(-time.Minute).UnixMilli()
+	count := 0
+	for _, accepted := range next.GetChanges() {
+		if accepted.GetAuthor() == author && accepted.GetUnixMilliseconds() > since {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/core/contact.go
@@ -0,0 +1,123 @@
+package core
+
+import (
+	"sort"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/router"
+)
+
+// stepHeartbeatReply extends the contact lease. A reply that shows the peer to
+// be ahead does not count: this node was not waited for.
+func (core *Core) stepHeartbeatReply(from string, reply *apiv1.HeartbeatReply) {
+	core.noteProgress(from, reply.GetProgress())
+	if core.behind(reply.GetProgress()) {
+		return
+	}
+	known := core.peers[from]
+	sent, found := known.sentAt[reply.GetSequence()]
+	if found && (!known.hasConfirmed || sent > known.confirmed) {
+		known.confirmed = sent
+		known.hasConfirmed = true
+	}
+}
+
+// behind reports whether a peer's progress shows state that this node lacks.
+func (core *Core) behind(progress *apiv1.Progress) bool {
+	if progress.GetDocumentVersion() > core.document.GetVersion() {
+		return true
+	}
+	return progress.GetDocumentVersion() == core.document.GetVersion() &&
+		router.Phase(progress.GetPhase()) > core.phase
+}
+
+// catchUp brings a node that nobody waited for to the phase of its peers.
+func (core *Core) catchUp(progress *apiv1.Progress) {
+	phase := router.Phase(progress.GetPhase())
+	if core.pending == nil || core.isMember() || phase <= core.phase ||
+		progress.GetPendingNumber() != core.document.GetPending().GetNumber() {
+		return
+	}
+	core.phase = phase
+	core.completed = phase - 1
+	core.startDuty()
+}
+
+// alive reports whether a peer has been heard within the time after which it
+// may be fenced.
+func (core *Core) alive(id string) bool {
+	if id == core.self.GetId() {
+		return true
+	}
+	known := core.peers[id]
+	return known != nil && known.heard && core.now-known.lastHeard <= core.fenceAfter()
+}
+
+func (core *Core) fenceAfter() uint32 {
+	return milliseconds(core.config.FencingTime + core.config.FencingMargin)
+}
+
+// suspects are the members this node has not heard for the fencing time, and
+// those that run again under a newer incarnation.
+func (core *Core) suspects() []string {
+	var suspects []string
+	for id, member := range core.members() {
+		if core.suspect(id, member) {
+			suspects = append(suspects, id)
+		}
+	}
+	sort.Strings(suspects)
+	return suspects
+}
+
+func (core *Core) suspect(id string, member *apiv1.Member) bool {
+	if id == core.self.GetId() {
+		return member.GetIncarnation() < core.self.GetIncarnation()
+	}
+	known := core.peers[id]
+	if known == nil {
+		return false
+	}
+	if known.member.GetIncarnation() > member.GetIncarnation() {
+		return true
+	}
+	return core.now-known.lastHeard > core.fenceAfter()
+}
+
+// freshUntil is the end of the contact lease: FencingTime after the sending of
+// the heartbeats that a majority of the members has confirmed.
+func (core *Core) freshUntil() uint32 {
+	if core.lacks(GuardContact) {
+		return ^uint32(0)
+	}
+	var confirmed []uint32
+	members := core.members()
+	for id := range members {
+		if id == core.self.GetId() && core.isMember() {
+			confirmed = append(confirmed, core.now)
+			continue
+		}
+		if known := core.peers[id]; known != nil && known.hasConfirmed {
+			confirmed = append(confirmed, known.confirmed)
+		}
+	}
+	majority := len(members)/2 + 1
+	if len(members) == 0 || len(confirmed) < majority {
+		return 0
+	}
+	sort.Slice(confirmed, func(i, j int) bool { return confirmed[i] > confirmed[j] })
+	return confirmed[majority-1] + milliseconds(core.config.FencingTime)
+}
+
+// isolated reports whether the node has been out of contact so long that a
+// short pause of its own cannot be the cause.
+func (core *Core) isolated() bool {
+	if core.now <= core.freshUntil() {
+		core.aloneSince = 0
+		return false
+	}
+	if core.aloneSince == 0 {
+		core.aloneSince = max(core.now, 1)
+	}
+	return core.now-core.aloneSince > milliseconds(core.config.FencingTime)
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -224,7 +224,7 @@
 	start := time.Now()
 	for time.Since(start) < stopLimit {
 		status, err := demo.client().Status(demo.ctx)
-		if err == nil && status.GetAcceptedRevision() > 0 && inForce(status) {
+		if err == nil && status.GetAcceptedRevision() > 0 && len(admin.NotInForce(status)) == 0 {
 			demo.say("%s in force on every node after %d ms", what, time.Since(start).Milliseconds())
 			return nil
 		}
@@ -233,15 +233,6 @@
 	return errors.Newf("%s: not in force after %s", what, stopLimit)
 }
 
-func inForce(status *apiv1.NodeStatus) bool {
-	for _, peer := range status.GetPeers() {
-		if peer.GetAlive() && peer.GetInForceRevision() < status.GetAcceptedRevision() {
-			return false
-		}
-	}
-	return status.GetInForceRevision() >= status.GetAcceptedRevision()
-}
-
 func (demo *demo) startCallers() error {
 	services := []struct{ name, address string }{{"lending", lendingAddress}, {"covers", coversAddress}}
 	for number := range zones {
@@ -328,19 +319,7 @@
 func (demo *demo) total() caller.Counts {
 	var total caller.Counts
 	for _, made := range demo.callers {
-		counts := made.Counts()
-		total.Flows += counts.Flows
-		total.Open += counts.Open
-		total.Answers += counts.Answers
-		total.Broken += counts.Broken
-		total.Refused += counts.Refused
-		total.NotRun += counts.NotRun
-		total.Unknown += counts.Unknown
-		total.Wrong += counts.Wrong
-		total.Unopened += counts.Unopened
-		if counts.LastError != "" {
-			total.LastError = counts.LastError
-		}
+		total.Add(made.Counts())
 	}
 	return total
 }
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/compile"
 	"github.com/indigobarrow/indigobarrow/internal/flow"
 	"github.com/indigobarrow/indigobarrow/internal/router"
 )
@@ -271,22 +272,20 @@
 
 // MeanVariation is the mean coefficient of variation over the run.
 func (result Result) MeanVariation() float64 {
-	total, count := 0.0, 0
-	for _, sample := range result.Imbalance {
-		if sample.At > 2*warmTime {
-			total += sample.Variation
-			count++
-		}
-	}
-	return total / float64(max(count, 1))
+	return result.mean(func(sample Imbalance) float64 { return sample.Variation })
 }
 
 // MeanMaximum is the mean of the maximum over the mean over the run.
 func (result Result) MeanMaximum() float64 {
+	return result.mean(func(sample Imbalance) float64 { return sample.MaximumOverMean })
+}
+
+// mean averages a measure of imbalance over the run after the warm-up.
+func (result Result) mean(value func(Imbalance) float64) float64 {
 	total, count := 0.0, 0
 	for _, sample := range result.Imbalance {
 		if sample.At > 2*warmTime {
-			total += sample.MaximumOverMean
+			total += value(sample)
 			count++
 		}
 	}
@@ -326,37 +325,16 @@
 	world.notify()
 }
 
-// desiredRules compiles a configuration with equal weights.
+// desiredRules compiles a configuration; the model keeps a back end's weight in
+// its number of slots, 0 being a full share.
 func desiredRules(configuration *apiv1.Configuration) []*apiv1.ServiceRule {
-	rules := make([]*apiv1.ServiceRule, 0, len(configuration.GetServices()))
-	for index, service := range configuration.GetServices() {
-		compiled := &apiv1.ServiceRule{
-			Name:    service.GetName(),
-			Address: service.GetAddress(),
-			Port:    service.GetPort(),
-			Salt:    uint64(index) + 1,
-		}
-		for _, backend := range service.GetBackends() {
-			weight := backend.GetSlots()
-			if weight == 0 {
-				weight = 100
-			}
-			compiled.Candidates = append(compiled.Candidates, &apiv1.Candidate{
-				Backend: backend.GetId(), Weight: weight, Leaving: backend.GetLeaving()})
-		}
-		rules = append(rules, compiled)
-	}
-	return rules
-}
-
-func clearedMarks(configuration *apiv1.Configuration) map[uint32]uint64 {
-	cleared := make(map[uint32]uint64)
+	weights := make(compile.Weights)
 	for _, service := range configuration.GetServices() {
 		for _, backend := range service.GetBackends() {
-			if backend.GetClearedMark() > 0 {
-				cleared[backend.GetId()] = backend.GetClearedMark()
+			if backend.GetSlots() > 0 {
+				weights[backend.GetId()] = backend.GetSlots()
 			}
 		}
 	}
-	return cleared
+	return compile.Rules(configuration, weights)
 }
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/compile"
 	"github.com/indigobarrow/indigobarrow/internal/core"
 	"github.com/indigobarrow/indigobarrow/internal/flow"
 	"github.com/indigobarrow/indigobarrow/internal/flowtable"
@@ -142,7 +143,7 @@
 		revision := configuration.GetRevision()
 		if _, seen := node.acceptedAt[revision]; !seen {
 			node.acceptedAt[revision] = node.world.Clock.Now()
-			node.core.SetDesired(node.now(), revision, desiredRules(configuration), clearedMarks(configuration))
+			node.core.SetDesired(node.now(), revision, desiredRules(configuration), compile.ClearedMarks(configuration))
 			node.markLeaving(configuration)
 			node.baseline.configure(configuration)
 		}
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -59,6 +59,25 @@
 	LastError    string   `json:"last_error"`
 }
 
+// Add adds the counts of another caller.
+func (counts *Counts) Add(other Counts) {
+	counts.Flows += other.Flows
+	counts.Answers += other.Answers
+	counts.Broken += other.Broken
+	counts.Refused += other.Refused
+	counts.NotRun += other.NotRun
+	counts.Unknown += other.Unknown
+	counts.Wrong += other.Wrong
+	counts.Unopened += other.Unopened
+	counts.Open += other.Open
+	counts.NotRunKeys = append(counts.NotRunKeys, other.NotRunKeys...)
+	counts.AnsweredKeys = append(counts.AnsweredKeys, other.AnsweredKeys...)
+	counts.UnknownKeys = append(counts.UnknownKeys, other.UnknownKeys...)
+	if other.LastError != "" {
+		counts.LastError = other.LastError
+	}
+}
+
 // Caller is one caller machine.
 type Caller struct {
 	settings Settings
--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -215,7 +215,7 @@
 	start := time.Now()
 	require.Eventually(cluster.t, func() bool {
 		status, err := cluster.client().Status(context.Background())
-		if err != nil || status.GetAcceptedRevision() == 0 || status.GetInForceRevision() < status.GetAcceptedRevision() {
+		if err != nil || status.GetAcceptedRevision() == 0 || len(admin.NotInForce(status)) > 0 {
 			return false
 		}
 		alive := 1
@@ -223,9 +223,6 @@
 			if peer.GetAlive() {
 				alive++
 			}
-			if peer.GetAlive() && peer.GetInForceRevision() < status.GetAcceptedRevision() {
-				return false
-			}
 		}
 		return alive >= min(len(cluster.order), nodeCount-1)
 	}, limit, 50*time.Millisecond)
@@ -267,21 +264,7 @@
 		for index := range 2 {
 			var counts caller.Counts
 			cluster.get("http://"+cluster.callerControl(place, index)+"/counts", &counts)
-			total.Flows += counts.Flows
-			total.Answers += counts.Answers
-			total.Broken += counts.Broken
-			total.Refused += counts.Refused
-			total.NotRun += counts.NotRun
-			total.Unknown += counts.Unknown
-			total.Wrong += counts.Wrong
-			total.Unopened += counts.Unopened
-			total.Open += counts.Open
-			total.NotRunKeys = append(total.NotRunKeys, counts.NotRunKeys...)
-			total.AnsweredKeys = append(total.AnsweredKeys, counts.AnsweredKeys...)
-			total.UnknownKeys = append(total.UnknownKeys, counts.UnknownKeys...)
-			if counts.LastError != "" {
-				total.LastError = counts.LastError
-			}
+			total.Add(counts)
 		}
 	}
 	return total
