--- a/cmd/indigobarrow/change.go
+++ b/cmd/indigobarrow/change.go
@@ -26,7 +26,11 @@
 	if request.GetOperationId() == "" {
 		request.OperationId = rand.Text()
 	}
-	answer, err := client(command).Change(ctx, request)
+	asked, err := client(command)
+	if err != nil {
+		return err
+	}
+	answer, err := asked.Change(ctx, request)
 	if err != nil {
 		return err
 	}
@@ -91,7 +95,7 @@
 }
 
 func listServices(ctx context.Context, command *cli.Command) error {
-	configuration, err := client(command).Configuration(ctx)
+	configuration, err := readConfiguration(ctx, command)
 	if err != nil {
 		return err
 	}
@@ -117,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	configuration, err := client(command).Configuration(ctx)
+	configuration, err := readConfiguration(ctx, command)
 	if err != nil {
 		return err
 	}
@@ -129,10 +133,18 @@
 	if asJSON(command) {
 		return printJSON(service)
 	}
-	rows := newTable("BACK END", "NUMBER", "ZONE", "TUNNEL", "LEAVING")
+	asked, err := client(command)
+	if err != nil {
+		return err
+	}
+	status, err := asked.Status(ctx)
+	if err != nil {
+		return err
+	}
+	rows := newTable("BACK END", "NUMBER", "ZONE", "TUNNEL", "LEAVING", "FLOWS AT "+status.GetId())
 	for _, backend := range service.GetBackends() {
-		rows.row(backend.GetName(), strconv.Itoa(int(backend.GetId())), backend.GetZone(),
-			backend.GetTunnelAddress(), strconv.FormatBool(backend.GetLeaving()))
+		rows.row(backend.GetName(), strconv.Itoa(int(backend.GetId())), backend.GetZone(), backend.GetTunnelAddress(),
+			strconv.FormatBool(backend.GetLeaving()), strconv.FormatUint(status.GetFlowsByBackend()[backend.GetId()], 10))
 	}
 	return rows.flush()
 }
--- a/cmd/indigobarrow/main.go
+++ b/cmd/indigobarrow/main.go
@@ -11,7 +11,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/admin"
+	"github.com/indigobarrow/indigobarrow/internal/certificate"
 	"github.com/indigobarrow/indigobarrow/internal/change"
 	"github.com/indigobarrow/indigobarrow/internal/settings"
 )
@@ -71,6 +73,7 @@
 		&cli.StringFlag{Name: "node", Value: "127.0.0.1:6070", Usage: "admin address of any node of the group",
 			Sources: cli.EnvVars("INDIGOBARROW_NODE")},
 		&cli.StringFlag{Name: "token", Usage: "bearer token", Sources: cli.EnvVars("INDIGOBARROW_TOKEN")},
+		&cli.StringFlag{Name: "authority", Usage: "PEM file of authorities; speaks TLS", Sources: cli.EnvVars("INDIGOBARROW_AUTHORITY")},
 		&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: "table", Usage: "table or json"},
 	}, more...)
 }
@@ -83,8 +86,54 @@
 	}, more...)...)
 }
 
-func client(command *cli.Command) *admin.Client {
-	return admin.NewClient(command.String("node"), command.String("token"))
+func client(command *cli.Command) (*admin.Client, error) {
+	return clientOf(command, command.String("node"))
+}
+
+// clientOf makes a client for one of the group's nodes.
+func clientOf(command *cli.Command, address string) (*admin.Client, error) {
+	file := command.String("authority")
+	if file == "" {
+		return admin.NewClient(address, command.String("token")), nil
+	}
+	authorities, err := certificate.LoadAuthorities(file)
+	if err != nil {
+		return nil, err
+	}
+	return admin.NewSecureClient(address, command.String("token"), authorities), nil
+}
+
+// groupClients makes clients for the node and its live peers, the node first.
+func groupClients(ctx context.Context, command *cli.Command) ([]*admin.Client, error) {
+	first, err := client(command)
+	if err != nil {
+		return nil, err
+	}
+	status, err := first.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	clients := []*admin.Client{first}
+	for _, peer := range status.GetPeers() {
+		if !peer.GetAlive() || peer.GetAdminAddress() == "" {
+			continue
+		}
+		other, err := clientOf(command, peer.GetAdminAddress())
+		if err != nil {
+			return nil, err
+		}
+		clients = append(clients, other)
+	}
+	return clients, nil
+}
+
+// readConfiguration reads the configuration from the node.
+func readConfiguration(ctx context.Context, command *cli.Command) (*apiv1.Configuration, error) {
+	asked, err := client(command)
+	if err != nil {
+		return nil, err
+	}
+	return asked.Configuration(ctx)
 }
 
 func asJSON(command *cli.Command) bool { return command.String("output") == "json" }
--- a/cmd/indigobarrow/policy.go
+++ b/cmd/indigobarrow/policy.go
@@ -10,7 +10,6 @@
 	"github.com/urfave/cli/v3"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
-	"github.com/indigobarrow/indigobarrow/internal/admin"
 	"github.com/indigobarrow/indigobarrow/internal/change"
 	"github.com/indigobarrow/indigobarrow/internal/policy"
 )
@@ -81,7 +80,7 @@
 }
 
 func listPolicies(ctx context.Context, command *cli.Command) error {
-	configuration, err := client(command).Configuration(ctx)
+	configuration, err := readConfiguration(ctx, command)
 	if err != nil {
 		return err
 	}
@@ -99,7 +98,7 @@
 
 // inForce reads a policy by name; the default one needs no entry.
 func inForce(ctx context.Context, command *cli.Command, name string) (*apiv1.Policy, error) {
-	configuration, err := client(command).Configuration(ctx)
+	configuration, err := readConfiguration(ctx, command)
 	if err != nil {
 		return nil, err
 	}
@@ -192,17 +191,10 @@
 
 // liveFacts finds the node that reads the reports.
 func liveFacts(ctx context.Context, command *cli.Command) (*apiv1.FactsReport, error) {
-	first := client(command)
-	status, err := first.Status(ctx)
+	clients, err := groupClients(ctx, command)
 	if err != nil {
 		return nil, err
 	}
-	clients := []*admin.Client{first}
-	for _, peer := range status.GetPeers() {
-		if peer.GetAlive() && peer.GetAdminAddress() != "" {
-			clients = append(clients, admin.NewClient(peer.GetAdminAddress(), command.String("token")))
-		}
-	}
 	for _, asked := range clients {
 		report, err := asked.Facts(ctx)
 		if err == nil && len(report.GetBackends()) > 0 {
--- a/cmd/indigobarrow/status.go
+++ b/cmd/indigobarrow/status.go
@@ -28,8 +28,12 @@
 
 func showStatus(ctx context.Context, command *cli.Command) error {
 	deadline := time.Now().Add(command.Duration("timeout"))
+	asked, err := client(command)
+	if err != nil {
+		return err
+	}
 	for {
-		status, err := client(command).Status(ctx)
+		status, err := asked.Status(ctx)
 		if err != nil {
 			return err
 		}
@@ -89,17 +93,10 @@
 	if err != nil {
 		return err
 	}
-	first := client(command)
-	status, err := first.Status(ctx)
+	clients, err := groupClients(ctx, command)
 	if err != nil {
 		return err
 	}
-	clients := []*admin.Client{first}
-	for _, peer := range status.GetPeers() {
-		if peer.GetAlive() && peer.GetAdminAddress() != "" {
-			clients = append(clients, admin.NewClient(peer.GetAdminAddress(), command.String("token")))
-		}
-	}
 	for _, asked := range clients {
 		explanation, err := asked.Explain(ctx, flow)
 		if err != nil {
@@ -117,7 +114,11 @@
 }
 
 func listRecent(ctx context.Context, command *cli.Command) error {
-	recent, err := client(command).Recent(ctx)
+	asked, err := client(command)
+	if err != nil {
+		return err
+	}
+	recent, err := asked.Recent(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"io"
 	"net/http"
 	"net/url"
@@ -30,6 +32,12 @@
 	return &Client{base: "http://" + address, token: token, http: &http.Client{Timeout: clientTimeout}}
 }
 
+// NewSecureClient makes a client that speaks TLS and trusts the authorities.
+func NewSecureClient(address, token string, authorities *x509.CertPool) *Client {
+	transport := &http.Transport{TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: authorities}}
+	return &Client{base: "https://" + address, token: token, http: &http.Client{Timeout: clientTimeout, Transport: transport}}
+}
+
 // Configuration reads the configuration.
 func (client *Client) Configuration(ctx context.Context) (*apiv1.Configuration, error) {
 	answer := &apiv1.Configuration{}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"log/slog"
 	"net"
@@ -12,10 +13,12 @@
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/admin"
+	"github.com/indigobarrow/indigobarrow/internal/certificate"
 	"github.com/indigobarrow/indigobarrow/internal/change"
 	"github.com/indigobarrow/indigobarrow/internal/core"
 	"github.com/indigobarrow/indigobarrow/internal/events"
 	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/flowtable"
 	"github.com/indigobarrow/indigobarrow/internal/policy"
 )
 
@@ -27,6 +30,13 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", node.settings.GetAdminAddress())
 	}
+	if node.settings.GetAdminCertificate() != "" {
+		pair, err := certificate.LoadPair(node.settings.GetAdminCertificate(), node.settings.GetAdminKey())
+		if err != nil {
+			return err
+		}
+		listener = tls.NewListener(listener, pair.Server(nil))
+	}
 	api := admin.New(node, node.logger.With("part", "admin"), node.settings.GetAdminTokenSha256())
 	server := &http.Server{Handler: api.Handler(node.metricsHandler()), ReadHeaderTimeout: adminHeaderTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
@@ -129,6 +139,20 @@
 	return made
 }
 
+// flowsByBackend counts the open flows in the table.
+func (node *Node) flowsByBackend() map[uint32]uint64 {
+	counts := make(map[uint32]uint64)
+	for shard := range flowtable.ShardCount {
+		node.table.Visit(shard, func(_ flow.Key, entry flowtable.Entry) bool {
+			if entry.Flags&flowtable.FlagClosed == 0 {
+				counts[entry.Backend]++
+			}
+			return true
+		})
+	}
+	return counts
+}
+
 // Status implements admin.Backend.
 func (node *Node) Status(ctx context.Context) (*apiv1.NodeStatus, error) {
 	status := &apiv1.NodeStatus{
@@ -139,6 +163,7 @@
 		StoreReachable: node.storeReachable.Load(),
 		Packets:        node.plane.Paths(),
 		ControlBytes:   node.transport.SentBytes(),
+		FlowsByBackend: node.flowsByBackend(),
 	}
 	err := node.query(ctx, func(control *core.Core) {
 		document := control.Document()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/certificate"
 	"github.com/indigobarrow/indigobarrow/internal/core"
 	"github.com/indigobarrow/indigobarrow/internal/dataplane"
 	"github.com/indigobarrow/indigobarrow/internal/events"
@@ -84,7 +85,11 @@
 	if err != nil {
 		return err
 	}
-	node.transport, err = transport.Listen(node.settings.GetPeerAddress(), node.logger.With("part", "transport"))
+	security, err := peerSecurity(node.settings)
+	if err != nil {
+		return err
+	}
+	node.transport, err = transport.Listen(node.settings.GetPeerAddress(), node.logger.With("part", "transport"), security)
 	if err != nil {
 		return err
 	}
@@ -92,6 +97,19 @@
 	return errors.Wrap(err, "settings")
 }
 
+// peerSecurity loads what mutual TLS between nodes needs; nil without it.
+func peerSecurity(settings *apiv1.NodeSettings) (*transport.Security, error) {
+	if settings.GetPeerCertificate() == "" {
+		return nil, nil
+	}
+	pair, err := certificate.LoadPair(settings.GetPeerCertificate(), settings.GetPeerKey())
+	if err != nil {
+		return nil, err
+	}
+	authorities, err := certificate.LoadAuthorities(settings.GetPeerAuthority())
+	return &transport.Security{Pair: pair, Authorities: authorities}, err
+}
+
 // CoreConfig derives the control state's configuration from the settings.
 func CoreConfig(settings *apiv1.NodeSettings) core.Config {
 	config := core.DefaultConfig()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -227,6 +227,8 @@
 		3*loaded.GetHeartbeatMilliseconds(), 120_000)
 	checker.oneOf("log_level", loaded.GetLogLevel(), "debug", "info", "warn", "error")
 	checker.oneOf("log_format", loaded.GetLogFormat(), "text", "json")
+	checker.together(loaded, "admin_certificate", "admin_key")
+	checker.together(loaded, "peer_certificate", "peer_key", "peer_authority")
 	checker.hash("admin_token_sha256", loaded.GetAdminTokenSha256())
 	return checker.faults
 }
@@ -288,6 +290,21 @@
 	checker.fault(field, value, "is not known", "use one of "+strings.Join(allowed, ", "))
 }
 
+// together checks that files which belong together are all set, or none.
+func (checker *checker) together(loaded *apiv1.NodeSettings, fields ...string) {
+	set := 0
+	for _, field := range fields {
+		if loaded.ProtoReflect().Get(fieldOf(loaded, field)).String() != "" {
+			set++
+		}
+	}
+	for _, field := range fields {
+		if set > 0 && loaded.ProtoReflect().Get(fieldOf(loaded, field)).String() == "" {
+			checker.fault(field, "", "is missing", "set all of "+strings.Join(fields, ", ")+", or none")
+		}
+	}
+}
+
 const hashDigits = 64
 
 func (checker *checker) hash(field, value string) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -41,6 +41,7 @@
 		"bad seed":      {"machines_address: 127.0.0.1", `line 7: machines_address = "127.0.0.1": is not an IPv4 address and port; write it like 127.0.0.1:6080`},
 		"set twice":     {"zone: nasr", `line 7: zone = "nasr": is set twice; remove it or line 3`},
 		"too quick":     {"fencing_milliseconds: 600", `line 7: fencing_milliseconds = "600": is out of range; set it between 1500 and 120000`},
+		"no key":        {"admin_certificate: a.pem", `flag or default: admin_key = "": is missing; set all of admin_certificate, admin_key, or none`},
 		"bad hash":      {"admin_token_sha256: abc", `line 7: admin_token_sha256 = "abc": is not a SHA-256 in hex; write 64 of 0 to 9 and a to f`},
 	}
 	for name, test := range cases {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -7,6 +7,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"log/slog"
 	"net"
 	"sync"
@@ -20,6 +22,7 @@
 	"storj.io/drpc/drpcserver"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/certificate"
 )
 
 const (
@@ -35,6 +38,7 @@
 // Transport is the peer listener and the streams to the peers of one node.
 type Transport struct {
 	listener net.Listener
+	security *Security
 	logger   *slog.Logger
 	inbox    chan *apiv1.Envelope
 	mutex    sync.Mutex
@@ -44,14 +48,24 @@
 	bytes sync.Map
 }
 
+// Security is mutual TLS between nodes; nil is none.
+type Security struct {
+	Pair        *certificate.Pair
+	Authorities *x509.CertPool
+}
+
 // Listen opens the peer listener.
-func Listen(address string, logger *slog.Logger) (*Transport, error) {
+func Listen(address string, logger *slog.Logger, security *Security) (*Transport, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "peers: listen on %s", address)
 	}
+	if security != nil {
+		listener = tls.NewListener(listener, security.Pair.Server(security.Authorities))
+	}
 	return &Transport{
 		listener: listener,
+		security: security,
 		logger:   logger,
 		inbox:    make(chan *apiv1.Envelope, inboxLimit),
 		links:    make(map[string]*link),
@@ -182,8 +196,7 @@
 	if !open {
 		return nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	socket, err := dialer.DialContext(ctx, "tcp4", link.address)
+	socket, err := transport.dial(ctx, link.address)
 	if err != nil {
 		return errors.Wrapf(err, "peer %s: dial", link.address)
 	}
@@ -203,6 +216,19 @@
 	}
 }
 
+func (transport *Transport) dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if transport.security == nil {
+		return dialer.DialContext(ctx, "tcp4", address)
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	secure := tls.Dialer{NetDialer: dialer, Config: transport.security.Pair.Client(transport.security.Authorities, host)}
+	return secure.DialContext(ctx, "tcp4", address)
+}
+
 // next waits for a message. It returns false when the context ends, or when
 // the link has been idle and is removed.
 func (transport *Transport) next(ctx context.Context, link *link) (*apiv1.Envelope, bool) {
