Do not let weights flap between nodes; send offers for marks at once

Cause 1: in the emulator every node published its own weights, so epochs followed each other without end (document version 229 in 2 minutes, 16 KB/s). Nodes that do not decide weights want those of the newest epoch, as in a real node; and an epoch for weights alone waits RuleInterval after the last.

--- a/internal/compile/compile.go
+++ b/internal/compile/compile.go
@@ -18,6 +18,27 @@
 // that it does not name have FullWeight.
 type Weights map[uint32]uint32
 
+// WeightsOf reads the weights of a document's newest epoch. A node that does not
+// decide weights wants those.
+func WeightsOf(document *apiv1.EpochDocument) Weights {
+	epoch := document.GetSettled()
+	if document.GetPending() != nil {
+		epoch = document.GetPending()
+	}
+	return EpochWeights(epoch)
+}
+
+// EpochWeights reads the weights of an epoch.
+func EpochWeights(epoch *apiv1.Epoch) Weights {
+	weights := make(Weights)
+	for _, service := range epoch.GetServices() {
+		for _, candidate := range service.GetCandidates() {
+			weights[candidate.GetBackend()] = candidate.GetWeight()
+		}
+	}
+	return weights
+}
+
 // Rules compiles a configuration with the given weights. Services are sorted by
 // name. The result depends on nothing else, so that all nodes that know the
 // same facts want the same rules.
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -49,6 +49,11 @@
 	// sooner.
 	MemberDelay time.Duration
 
+	// RuleInterval is the least time between an epoch and the next one that
+	// changes weights alone, without a new revision. It bounds the cost when two
+	// nodes that both believe they decide weights publish against each other.
+	RuleInterval time.Duration
+
 	// PublishBackoff separates the ranks of writers: the node of rank n waits
 	// n times as long. It should exceed a round trip to the store and its
 	// spread to the peers.
@@ -94,9 +99,10 @@
 		FencingTime:          2 * time.Second,
 		FencingMargin:        500 * time.Millisecond,
 		RecoveryTime:         30 * time.Second,
-		MarkDelay:            time.Second,
+		MarkDelay:            2 * time.Second,
 		SynRetryTime:         17 * time.Second,
 		MemberDelay:          2 * time.Second,
+		RuleInterval:         5 * time.Second,
 		PublishBackoff:       200 * time.Millisecond,
 		AskTimeout:           60 * time.Millisecond,
 		AskDeadline:          400 * time.Millisecond,
@@ -115,7 +121,7 @@
 	config.HeartbeatInterval = 2 * time.Second
 	config.FencingTime = 8 * time.Second
 	config.FencingMargin = 2 * time.Second
-	config.MarkDelay = 2 * time.Second
+	config.MarkDelay = 3 * time.Second
 	config.PublishBackoff = time.Second
 	config.AskTimeout = 300 * time.Millisecond
 	config.AskDeadline = 1500 * time.Millisecond
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -65,11 +65,13 @@
 
 	document      *apiv1.EpochDocument
 	configuration *apiv1.Configuration
-	settled       *rule.Set
-	pending       *rule.Set
-	phase         router.Phase
-	completed     router.Phase
-	duty          duty
+	// acceptedAt is when the document was taken.
+	acceptedAt uint32
+	settled    *rule.Set
+	pending    *rule.Set
+	phase      router.Phase
+	completed  router.Phase
+	duty       duty
 	// rejoining is set while this node is cut off or fenced, until it has
 	// listed its flows; rejoinUntil bounds the time for recording them.
 	rejoining   bool
--- a/internal/core/document.go
+++ b/internal/core/document.go
@@ -64,6 +64,7 @@
 		core.enterPending(pending, phase)
 	}
 	core.document = proto.CloneOf(document)
+	core.acceptedAt = core.now
 	core.settled = settled
 	core.pending = pending
 	core.viewChanged = true
--- a/internal/core/offer.go
+++ b/internal/core/offer.go
@@ -53,7 +53,7 @@
 )
 
 // offerRetry is after how many milliseconds an unanswered offer is sent again.
-const offerRetry = 700
+const offerRetry = 300
 
 // offerBurst is how many seconds of the budget may be saved up.
 const offerBurst = 0.5
@@ -135,13 +135,7 @@
 			delete(core.offers, id)
 		}
 	}
-	for len(core.offerQueue) > 0 && core.offerTokens > 0 {
-		next := core.offerQueue[0]
-		core.offerQueue = core.offerQueue[1:]
-		if core.offers[next.id] != nil {
-			core.sendOffer(next)
-		}
-	}
+	core.sendQueued()
 	for _, waiting := range core.offers {
 		if waiting.sentAt != 0 && core.now-waiting.sentAt >= offerRetry {
 			waiting.sentAt = 0
@@ -150,6 +144,23 @@
 	}
 }
 
+// sendQueued sends what the budget allows. Offers for a mark go at once: they
+// are few, and until they are answered new flows still go to the marked back
+// end.
+func (core *Core) sendQueued() {
+	queue := core.offerQueue
+	core.offerQueue = nil
+	for _, next := range queue {
+		switch {
+		case core.offers[next.id] == nil:
+		case core.offerTokens > 0 || next.purpose == purposeMark:
+			core.sendOffer(next)
+		default:
+			core.offerQueue = append(core.offerQueue, next)
+		}
+	}
+}
+
 func (core *Core) spend(bytes int) {
 	core.offerTokens -= float64(bytes + offerOverhead)
 }
--- a/internal/core/publish.go
+++ b/internal/core/publish.go
@@ -169,7 +169,11 @@
 	if core.desiredFrom < settled.GetConfigurationRevision() {
 		return false
 	}
-	if core.desiredFrom > settled.GetConfigurationRevision() || !sameServices(settled.GetServices(), core.desiredServices()) {
+	if core.desiredFrom > settled.GetConfigurationRevision() {
+		return true
+	}
+	rested := core.now-core.acceptedAt >= milliseconds(core.config.RuleInterval)
+	if rested && !sameServices(settled.GetServices(), core.desiredServices()) {
 		return true
 	}
 	return core.membersDiffer(settled)
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -36,8 +36,10 @@
 	bytesByKind    map[string]uint64
 	rates          []float64
 	alive          uint64
-	startedAt      time.Duration
-	acceptedAt     map[uint64]time.Duration
+	// followed is the document whose weights the node wants.
+	followed   uint64
+	startedAt  time.Duration
+	acceptedAt map[uint64]time.Duration
 }
 
 // parkedLimit bounds the packets that wait for an answer of the keepers.
@@ -148,6 +150,7 @@
 			node.baseline.configure(configuration)
 		}
 	}
+	node.followWeights()
 	out := node.core.Ready()
 	if out.View != nil {
 		node.router.SetView(out.View)
@@ -174,6 +177,19 @@
 	}
 }
 
+// followWeights wants the weights of the newest document, on the nodes that do
+// not run the policies.
+func (node *node) followWeights() {
+	version := node.core.Document().GetVersion()
+	if !node.world.settings.Reports.Enabled || version == node.followed || node.world.decider() == node {
+		return
+	}
+	node.followed = version
+	configuration := node.core.Configuration()
+	node.core.SetDesired(node.now(), configuration.GetRevision(),
+		compile.Rules(configuration, compile.WeightsOf(node.core.Document())), compile.ClearedMarks(configuration))
+}
+
 // markLeaving spreads the drains of a configuration as marks, which is faster
 // than an epoch.
 func (node *node) markLeaving(configuration *apiv1.Configuration) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -87,7 +87,7 @@
 	case *apiv1.Member:
 		node.core.Meet(body)
 	case *apiv1.Epoch:
-		state.weights = weightsOf(body)
+		state.weights = compile.EpochWeights(body)
 		state.desire()
 	}
 	switch event.Kind {
@@ -112,7 +112,7 @@
 	}
 	weights := state.weights
 	if weights == nil {
-		weights = weightsInForce(node.core.Document())
+		weights = compile.WeightsOf(node.core.Document())
 	}
 	rules := compile.Rules(configuration, weights)
 	node.core.SetDesired(node.now(), configuration.GetRevision(), rules, compile.ClearedMarks(configuration))
@@ -184,15 +184,6 @@
 	}
 }
 
-// weightsInForce are the weights of the newest epoch. A node that does not
-// decide weights wants those.
-func weightsInForce(document *apiv1.EpochDocument) compile.Weights {
-	if document.GetPending() != nil {
-		return weightsOf(document.GetPending())
-	}
-	return weightsOf(document.GetSettled())
-}
-
 // targets lists the tunnel addresses of all back ends that flows may be bound
 // to.
 func targets(control *core.Core) dataplane.Targets {
--- a/internal/node/facts.go
+++ b/internal/node/facts.go
@@ -78,7 +78,7 @@
 		first, inForce := false, map[uint32]uint32(nil)
 		if err := node.query(ctx, func(control *core.Core) {
 			first = control.GroupRank() == 0
-			inForce = weightsOf(control.Document().GetSettled())
+			inForce = compile.EpochWeights(control.Document().GetSettled())
 		}); err != nil {
 			return nil
 		}
@@ -97,17 +97,6 @@
 	return nil
 }
 
-// weightsOf reads the weights of an epoch.
-func weightsOf(epoch *apiv1.Epoch) compile.Weights {
-	weights := make(compile.Weights)
-	for _, service := range epoch.GetServices() {
-		for _, candidate := range service.GetCandidates() {
-			weights[candidate.GetBackend()] = candidate.GetWeight()
-		}
-	}
-	return weights
-}
-
 // readReports asks all back ends that have a report address.
 func (node *Node) readReports(ctx context.Context) {
 	node.facts.mutex.Lock()
@@ -271,7 +260,7 @@
 func (node *Node) Facts(ctx context.Context) (*apiv1.FactsReport, error) {
 	report := &apiv1.FactsReport{Node: node.self.GetId()}
 	var weights map[uint32]uint32
-	if err := node.query(ctx, func(control *core.Core) { weights = weightsInForce(control.Document()) }); err != nil {
+	if err := node.query(ctx, func(control *core.Core) { weights = compile.WeightsOf(control.Document()) }); err != nil {
 		return nil, err
 	}
 	node.facts.mutex.Lock()
