--- a/internal/core/filter.go
+++ b/internal/core/filter.go
@@ -17,8 +17,11 @@
 	filterHashes      = 7
 	minimumFilterBits = 64
 	// filterRetry is after how many milliseconds a missing filter is asked
-	// for again, and how often at most a changed one is sent.
+	// for again.
 	filterRetry = 1000
+	// filterRefresh is how often at most, in milliseconds, a changed filter is
+	// sent.
+	filterRefresh = 3000
 )
 
 // filterSet holds the filters of displaced flows of one epoch, by keeper.
@@ -122,7 +125,7 @@
 
 func (core *Core) refreshFilter(set *filterSet, epoch *apiv1.Epoch, target *rule.Set) {
 	own := set.parts[core.self.GetId()]
-	if !set.dirty || !core.isMemberOf(epoch) || own != nil && core.now-set.sentAt < filterRetry {
+	if !set.dirty || !core.isMemberOf(epoch) || own != nil && core.now-set.sentAt < filterRefresh {
 		return
 	}
 	set.dirty = false
--- a/internal/core/offer.go
+++ b/internal/core/offer.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/router"
 )
 
 // offer is a list of flows that a keeper is asked to record. Most of them are
@@ -58,6 +59,9 @@
 // offerBurst is how many seconds of the budget may be saved up.
 const offerBurst = 0.5
 
+// maximumDebt is how many seconds of the budget may be owed.
+const maximumDebt = 1.0
+
 // offerOverhead approximates the bytes of an envelope around an offer.
 const offerOverhead = 40
 
@@ -144,16 +148,16 @@
 	}
 }
 
-// sendQueued sends what the budget allows. Offers for a mark go at once: they
-// are few, and until they are answered new flows still go to the marked back
-// end.
+// sendQueued sends what the budget allows. Offers of newly opened flows go at
+// once: they are few, and until they are answered new flows still follow the
+// old rule.
 func (core *Core) sendQueued() {
 	queue := core.offerQueue
 	core.offerQueue = nil
 	for _, next := range queue {
 		switch {
 		case core.offers[next.id] == nil:
-		case core.offerTokens > 0 || next.purpose == purposeMark:
+		case core.offerTokens > 0 || core.urgent(next):
 			core.sendOffer(next)
 		default:
 			core.offerQueue = append(core.offerQueue, next)
@@ -161,8 +165,15 @@
 	}
 }
 
+func (core *Core) urgent(waiting *offer) bool {
+	return waiting.purpose == purposeMark || waiting.purpose == purposePhase && core.phase == router.PhaseLearned
+}
+
+// spend charges the budget for bytes that are sent, up to a bounded debt: a
+// large filter must not hold up the offers after it for long.
 func (core *Core) spend(bytes int) {
-	core.offerTokens -= float64(bytes + offerOverhead)
+	debt := -maximumDebt * float64(core.config.RecordBytesPerSecond)
+	core.offerTokens = max(debt, core.offerTokens-float64(bytes+offerOverhead))
 }
 
 func (core *Core) sendOffer(next *offer) {
