--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -83,6 +83,11 @@
 	watchSeconds = 60
 	// rateWindow is the number of seconds over which bytes are judged.
 	rateWindow = 10
+	// reportSeconds is the processor time to read one report, with the answering
+	// side (go test -bench ReadReport ./internal/node); reportsPerSecond is the
+	// bound of the deciding node.
+	reportSeconds    = 83e-6
+	reportsPerSecond = 20
 	// watchedKeys are the document and the configuration.
 	watchedKeys = 2
 )
@@ -151,6 +156,8 @@
 		{"node", "processor at rest and for changes", cpuRest + cpuChange, "core", limits.CPU,
 			fmt.Sprintf("%.5f + %.6f x %.0f peers, + %.3f s x %.0f changes / day", slopes.ControlCPU.Base,
 				slopes.ControlCPU.Slope, peers, slopes.ChangeCPU.At(group.flows), group.changes), "control goroutine"},
+		{"deciding node", "processor with reports", cpuRest + cpuChange + reportSeconds*reportsPerSecond, "core", limits.CPU,
+			fmt.Sprintf("the row above + %d / s x %.0f us", reportsPerSecond, reportSeconds*1e6), "one decider a group; spaced reports"},
 		{"node", "memory for control", memory, "B", limits.Memory,
 			fmt.Sprintf("%.1f MB table + %.1f MB records + %.1f MB filters + %.1f MB rules + %.1f MB rest",
 				table/1e6, records/1e6, filters/1e6, rules/1e6, slopes.NodeMemory.At(peers)/1e6),
--- a/internal/node/facts.go
+++ b/internal/node/facts.go
@@ -18,7 +18,9 @@
 )
 
 const (
-	reportPeriod      = 2 * time.Second
+	reportPeriod = 2 * time.Second
+	// reportSpacing bounds the rate of reports: 20 a second.
+	reportSpacing     = 50 * time.Millisecond
 	reportTimeout     = 500 * time.Millisecond
 	reportConcurrency = 16
 )
@@ -74,7 +76,7 @@
 func (node *Node) pollReports(ctx context.Context) error {
 	var damper *policy.Damper
 	for ctx.Err() == nil {
-		pause(ctx, jitter(reportPeriod))
+		pause(ctx, jitter(node.facts.period()))
 		first, inForce := false, map[uint32]uint32(nil)
 		if err := node.query(ctx, func(control *core.Core) {
 			first = control.GroupRank() == 0
@@ -97,6 +99,17 @@
 	return nil
 }
 
+// period is the time between two rounds of reports.
+func (facts *facts) period() time.Duration {
+	facts.mutex.Lock()
+	defer facts.mutex.Unlock()
+	count := 0
+	for _, service := range facts.configuration.GetServices() {
+		count += len(service.GetBackends())
+	}
+	return max(reportPeriod, time.Duration(count)*reportSpacing)
+}
+
 // readReports asks all back ends that have a report address.
 func (node *Node) readReports(ctx context.Context) {
 	node.facts.mutex.Lock()
@@ -166,6 +179,7 @@
 // runPolicies evaluates the policies on the newest facts. Leaving becomes a
 // mark; weights go to the control goroutine when they have changed.
 func (node *Node) runPolicies(damper *policy.Damper) error {
+	period := node.facts.period()
 	node.facts.mutex.Lock()
 	defer node.facts.mutex.Unlock()
 	configuration := node.facts.configuration
@@ -175,7 +189,7 @@
 		if err != nil {
 			return err
 		}
-		if err := node.runPolicy(program, service, outcomes); err != nil {
+		if err := node.runPolicy(program, service, period, outcomes); err != nil {
 			return err
 		}
 	}
@@ -194,14 +208,14 @@
 	return policy.Compile(wanted)
 }
 
-func (node *Node) runPolicy(program *policy.Program, service *apiv1.Service, outcomes map[uint32]policy.Outcome) error {
+func (node *Node) runPolicy(program *policy.Program, service *apiv1.Service, period time.Duration, outcomes map[uint32]policy.Outcome) error {
 	mean := node.facts.meanLoad(service)
 	for _, backend := range service.GetBackends() {
 		if backend.GetReportAddress() == "" {
 			outcomes[backend.GetId()] = policy.Outcome{Weight: 1}
 			continue
 		}
-		outcome, err := program.Evaluate(node.facts.of(backend, mean))
+		outcome, err := program.Evaluate(node.facts.of(backend, mean, period))
 		if err != nil {
 			return errors.Wrapf(err, "service %s, back end %s", service.GetName(), backend.GetName())
 		}
@@ -229,7 +243,7 @@
 }
 
 // of gathers the facts of one back end.
-func (facts *facts) of(backend *apiv1.Backend, mean float64) policy.Facts {
+func (facts *facts) of(backend *apiv1.Backend, mean float64, period time.Duration) policy.Facts {
 	gathered := policy.Facts{Name: backend.GetName(), Zone: backend.GetZone(), MachineState: "unknown", MeanLoad: mean, Load: mean}
 	known := facts.reports[backend.GetId()]
 	if known == nil {
@@ -238,7 +252,7 @@
 	now := time.Now()
 	gathered.MachineState = known.state
 	gathered.BadSeconds = now.Sub(known.lastGood).Seconds()
-	gathered.Healthy = gathered.BadSeconds < 2*reportPeriod.Seconds()
+	gathered.Healthy = gathered.BadSeconds < 2*period.Seconds()
 	if !known.lastReport.IsZero() {
 		gathered.Load = known.load
 		gathered.ReportAge = now.Sub(known.lastReport).Seconds()
@@ -263,6 +277,7 @@
 	if err := node.query(ctx, func(control *core.Core) { weights = compile.WeightsOf(control.Document()) }); err != nil {
 		return nil, err
 	}
+	period := node.facts.period()
 	node.facts.mutex.Lock()
 	defer node.facts.mutex.Unlock()
 	for _, service := range node.facts.configuration.GetServices() {
@@ -271,7 +286,7 @@
 			if node.facts.reports[backend.GetId()] == nil {
 				continue
 			}
-			known := node.facts.of(backend, mean)
+			known := node.facts.of(backend, mean, period)
 			report.Backends = append(report.Backends, &apiv1.BackendFacts{
 				Service: service.GetName(), Backend: known.Name, Zone: known.Zone, MachineState: known.MachineState,
 				Healthy: known.Healthy, BadSeconds: known.BadSeconds, Load: known.Load, MeanLoad: known.MeanLoad,
