Do not send a new flow on reused ports to a leaving back end

Cause: a record of an ended flow stays for up to 15 minutes, and a SYN on its ports was sent to the recorded back end, also when that one leaves. Red: TestReusedPorts. A SYN more than 64 s after the record was made, when no try of the recorded flow's own SYN is left, drops the record at both keepers.

--- a/internal/core/ask.go
+++ b/internal/core/ask.go
@@ -13,6 +13,7 @@
 	key      flow.Key
 	proposal uint32
 	bind     bool
+	opens    bool
 	steps    []askStep
 	deadline uint32
 	// waiting is set while a request for the present step is unanswered.
@@ -36,8 +37,9 @@
 // Ask hands in a question of the traffic goroutines: which back end holds the
 // flow? With bind, the proposal is bound when no record exists; without it,
 // the proposal is only the answer for that case. A question about a flow that
-// is being asked about already is folded into it.
-func (core *Core) Ask(now uint32, key flow.Key, proposal uint32, bind bool) {
+// is being asked about already is folded into it. Opens says that it is about a
+// SYN.
+func (core *Core) Ask(now uint32, key flow.Key, proposal uint32, bind, opens bool) {
 	core.advanceTime(now)
 	if known := core.asks[key]; known != nil {
 		known.bind = known.bind || bind
@@ -51,6 +53,7 @@
 		key:      key,
 		proposal: proposal,
 		bind:     bind,
+		opens:    opens,
 		steps:    core.askSteps(key, bind),
 		deadline: core.now + milliseconds(core.config.AskDeadline),
 	}
@@ -111,7 +114,11 @@
 		PendingNumber: core.document.GetPending().GetNumber(),
 	}
 	sent := &askRequest{deadline: core.now + milliseconds(core.config.AskTimeout)}
-	for _, question := range questions {
+	request.Opens = newBitmap(len(questions))
+	for index, question := range questions {
+		if question.opens {
+			setBit(request.Opens, index)
+		}
 		proposal := uint32(rule.NoBackend)
 		if question.steps[0].bind {
 			proposal = question.proposal
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -289,6 +289,7 @@
 		HoldUnknown: core.holdsUnknown(),
 		ActiveMarks: core.activeMarks(),
 		KnownMarks:  core.knownMarks(),
+		Leaving:     core.leaving(),
 		Keepers:     core.settledKeeper,
 		Filters:     core.viewFilters(),
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -146,7 +146,7 @@
 		for range rapid.IntRange(2, 5).Draw(t, "questions") {
 			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "node")
 			proposal := uint32(rapid.IntRange(1, 4).Draw(t, "proposal"))
-			mesh.cores[id].Ask(mesh.now, asked, proposal, true)
+			mesh.cores[id].Ask(mesh.now, asked, proposal, true, false)
 			for _, resolution := range mesh.drain(id) {
 				require.Equal(t, asked, resolution.Key)
 				answers[resolution.Backend] = true
@@ -163,7 +163,7 @@
 	}
 	core := mesh.cores["a"]
 	for number := range core.config.MaximumAsks + 1 {
-		core.Ask(mesh.now, key(number), 1, true)
+		core.Ask(mesh.now, key(number), 1, true, false)
 	}
 	unanswered := 0
 	for _, resolution := range core.Ready().Resolutions {
@@ -183,7 +183,7 @@
 		number++
 		first, second = core.settledKeeper.Pick(key(number).Hash())
 	}
-	core.Ask(mesh.now, key(number), 1, true)
+	core.Ask(mesh.now, key(number), 1, true, false)
 	core.Ready()
 	core.Tick(mesh.now + milliseconds(core.config.AskDeadline))
 	require.Equal(t, []Resolution{{Key: key(number)}}, core.Ready().Resolutions)
@@ -277,3 +277,22 @@
 	config.FencingTime = config.HeartbeatInterval
 	require.ErrorContains(t, config.Validate(), "set it to three heartbeat intervals")
 }
+
+// TestReusedPorts: a SYN on the ports of a flow that ended long ago does not go
+// to its back end when that one leaves; the SYN of the flow itself does.
+func TestReusedPorts(t *testing.T) {
+	mesh := newMesh(t)
+	asked := key(1)
+	ask := func(proposal uint32) uint32 {
+		mesh.cores["a"].Ask(mesh.now, asked, proposal, true, true)
+		resolutions := mesh.drain("a")
+		require.Len(t, resolutions, 1)
+		return resolutions[0].Backend
+	}
+	require.Equal(t, uint32(3), ask(3))
+	mesh.want(2, 3)
+	mesh.run(5 * time.Second)
+	require.Equal(t, uint32(3), ask(1), "a SYN that comes again")
+	mesh.run(70 * time.Second)
+	require.Equal(t, uint32(1), ask(1), "a new flow")
+}
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -5,6 +5,7 @@
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/flowtable"
 	"github.com/indigobarrow/indigobarrow/internal/router"
 	"github.com/indigobarrow/indigobarrow/internal/rule"
 )
@@ -13,6 +14,7 @@
 type record struct {
 	backend  uint32
 	lastSeen uint32
+	made     uint32
 	// tentative is set until the other keeper has confirmed the record.
 	tentative bool
 }
@@ -38,6 +40,8 @@
 	from    string
 	request uint64
 	keys    []flow.Key
+	// reused are the keys whose old record was dropped.
+	reused map[flow.Key]bool
 	// waitingFor counts the keepers that have not confirmed.
 	waitingFor int
 }
@@ -62,7 +66,11 @@
 	if core.records[key] == nil {
 		core.fingerprints[fingerprintOf(key)]++
 	}
-	core.records[key] = &record{backend: backend, lastSeen: core.now, tentative: tentative}
+	made := core.now
+	if old := core.records[key]; old != nil && old.backend == backend {
+		made = old.made
+	}
+	core.records[key] = &record{backend: backend, lastSeen: core.now, made: made, tentative: tentative}
 	core.dirtyFilters(key)
 }
 
@@ -96,17 +104,21 @@
 // keepers get the same answer.
 func (core *Core) stepBindRequest(from string, request *apiv1.BindRequest) {
 	fresh := make(map[string][]flow.Key)
+	reused := make(map[flow.Key]bool)
 	keys, err := readKeys(request.GetKeys())
 	if err != nil || len(keys) != len(request.GetProposals()) {
 		return
 	}
 	for index, key := range keys {
+		if hasBit(request.GetOpens(), index) && core.dropReused(key) {
+			reused[key] = true
+		}
 		if core.bindOne(key, request.GetProposals()[index], request.GetReplicated(), from) {
 			other := core.otherKeeper(key)
 			fresh[other] = append(fresh[other], key)
 		}
 	}
-	whole := &replication{from: from, request: request.GetRequest(), keys: keys}
+	whole := &replication{from: from, request: request.GetRequest(), keys: keys, reused: reused}
 	for _, other := range sortedKeys(fresh) {
 		core.replicate(whole, other, fresh[other])
 	}
@@ -115,11 +127,26 @@
 	}
 }
 
+// reusedAfter is how long, in milliseconds, after a record was made a SYN can no
+// longer be one of the recorded flow's: its caller has given up by then.
+const reusedAfter = 64_000
+
+// dropReused drops the record of a flow whose ports are used anew, when its back
+// end takes no new flows. It reports whether it did.
+func (core *Core) dropReused(key flow.Key) bool {
+	kept := core.records[key]
+	if kept == nil || core.view == nil || !core.view.Leaving[kept.backend] || core.now-kept.made <= reusedAfter {
+		return false
+	}
+	core.dropRecord(key)
+	return true
+}
+
 // bindOne applies one binding and reports whether it made a new record.
 func (core *Core) bindOne(key flow.Key, proposal uint32, replicated bool, from string) bool {
 	kept := core.records[key]
 	if kept == nil {
-		if entry, found := core.flows.Get(key, key.Hash()); found && proposal != rule.NoBackend {
+		if entry, found := core.flows.Get(key, key.Hash()); found && proposal != rule.NoBackend && !core.reusable(entry) {
 			proposal = entry.Backend
 		}
 	}
@@ -151,6 +178,12 @@
 	}
 }
 
+// reusable reports whether an entry of the node's own table may belong to an
+// earlier flow on the same ports at a back end that takes no new flows.
+func (core *Core) reusable(entry flowtable.Entry) bool {
+	return core.view != nil && core.view.Leaving[entry.Backend] && core.now-min(core.now, entry.LastSeen) > reusedAfter
+}
+
 // answerBind answers with the records; where there is none, with the entry of
 // the node's own table, which is as good.
 func (core *Core) answerBind(to string, request uint64, keys []flow.Key, replicated bool) {
@@ -160,7 +193,7 @@
 		if kept := core.records[key]; kept != nil {
 			kept.lastSeen = core.now
 			backend = kept.backend
-		} else if entry, found := core.flows.Get(key, key.Hash()); found {
+		} else if entry, found := core.flows.Get(key, key.Hash()); found && !core.reusable(entry) {
 			backend = entry.Backend
 		}
 		reply.Backends = append(reply.Backends, backend)
@@ -184,9 +217,12 @@
 }
 
 func (core *Core) sendPart(id uint64, part *replicationPart) {
-	request := &apiv1.BindRequest{Request: id, Replicated: true}
+	request := &apiv1.BindRequest{Request: id, Replicated: true, Opens: newBitmap(len(part.created))}
 	for _, key := range part.created {
 		if kept := core.records[key]; kept != nil {
+			if part.whole.reused[key] {
+				setBit(request.Opens, len(request.GetProposals()))
+			}
 			request.Keys = appendKey(request.Keys, key)
 			request.Proposals = append(request.Proposals, kept.backend)
 		}
--- a/internal/core/marks.go
+++ b/internal/core/marks.go
@@ -187,6 +187,20 @@
 	return known
 }
 
+// leaving are the back ends that take no new flows, by a mark or by the settled
+// rule.
+func (core *Core) leaving() map[uint32]bool {
+	leaving := core.knownMarks()
+	for _, service := range core.document.GetSettled().GetServices() {
+		for _, candidate := range service.GetCandidates() {
+			if candidate.GetLeaving() {
+				leaving[candidate.GetBackend()] = true
+			}
+		}
+	}
+	return leaving
+}
+
 // activeMarks are the marks that new flows heed. A pending epoch that clears a
 // mark ends it for new flows once it is active.
 func (core *Core) activeMarks() map[uint32]bool {
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -38,6 +38,7 @@
 	Key      flow.Key
 	Proposal uint32
 	Bind     bool
+	Opens    bool
 }
 
 // Answer is the control goroutine's answer.
--- a/internal/dataplane/worker.go
+++ b/internal/dataplane/worker.go
@@ -124,7 +124,7 @@
 	if !first {
 		return
 	}
-	question := Question{Key: packet.Key, Proposal: verdict.Proposal, Bind: verdict.Bind}
+	question := Question{Key: packet.Key, Proposal: verdict.Proposal, Bind: verdict.Bind, Opens: verdict.Opens}
 	select {
 	case plane.questions <- question:
 	default:
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -284,7 +284,7 @@
 	node.parkedCount++
 	key := arrived.flow.key
 	node.parked[key] = append(node.parked[key], arrived)
-	node.core.Ask(node.now(), key, verdict.Proposal, verdict.Bind)
+	node.core.Ask(node.now(), key, verdict.Proposal, verdict.Bind, verdict.Opens)
 	node.handle()
 }
 
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -34,7 +34,7 @@
 		case envelope := <-node.transport.Inbox():
 			node.core.Step(node.now(), envelope)
 		case question := <-node.plane.Questions():
-			node.core.Ask(node.now(), question.Key, question.Proposal, question.Bind)
+			node.core.Ask(node.now(), question.Key, question.Proposal, question.Bind, question.Opens)
 			state.askMore()
 		case carried, open := <-messages:
 			if open {
@@ -63,7 +63,7 @@
 	for {
 		select {
 		case question := <-state.node.plane.Questions():
-			state.node.core.Ask(state.node.now(), question.Key, question.Proposal, question.Bind)
+			state.node.core.Ask(state.node.now(), question.Key, question.Proposal, question.Bind, question.Opens)
 		default:
 			return
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -93,6 +93,8 @@
 	// the proposal if there is no record, or only look.
 	Proposal uint32
 	Bind     bool
+	// Opens is set when the question is about a SYN.
+	Opens bool
 }
 
 const (
@@ -178,7 +180,7 @@
 	if now-entry.LastSeen < reuseAfter {
 		return false
 	}
-	return entry.Flags&flowtable.FlagClosed != 0 || view.KnownMarks[entry.Backend]
+	return entry.Flags&flowtable.FlagClosed != 0 || view.Leaving[entry.Backend]
 }
 
 func (router *Router) decideUnknown(view *View, now uint32, key flow.Key, hash uint64, flags PacketFlags) Verdict {
@@ -211,10 +213,10 @@
 		if opens {
 			proposal = result.proposal
 		}
-		return Verdict{Action: ActionAsk, Path: PathKeeper, Proposal: proposal, Bind: true}
+		return Verdict{Action: ActionAsk, Path: PathKeeper, Proposal: proposal, Bind: true, Opens: opens}
 	}
 	if view.maybeDisplaced(key, hash) {
-		return Verdict{Action: ActionAsk, Path: PathKeeper, Proposal: result.fallback}
+		return Verdict{Action: ActionAsk, Path: PathKeeper, Proposal: result.fallback, Opens: opens}
 	}
 	if result.fallback == rule.NoBackend {
 		return Verdict{Action: ActionDrop, Path: PathRefusedNoBackend}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -88,7 +88,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			router := testRouter(t, testView(t, pending, test.phase))
 			verdict := router.Decide(10, differs, differs.Hash(), test.flags)
-			require.Equal(t, Verdict{Action: ActionAsk, Path: PathKeeper, Proposal: test.proposal, Bind: true}, verdict)
+			require.Equal(t, Verdict{Action: ActionAsk, Path: PathKeeper, Proposal: test.proposal, Bind: true,
+				Opens: test.flags&PacketOpens != 0}, verdict)
 			require.Equal(t, ActionForward, router.Decide(10, same, same.Hash(), test.flags).Action)
 		})
 	}
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -51,6 +51,8 @@
 	ActiveMarks map[uint32]bool
 	// KnownMarks are all marked back ends.
 	KnownMarks map[uint32]bool
+	// Leaving are all back ends that take no new flows by a mark or by a rule.
+	Leaving map[uint32]bool
 	// Keepers and Filters tell which flows may be displaced.
 	Keepers *Keepers
 	Filters map[string]*bloom.BloomFilter
