--- a/internal/core/ask.go
+++ b/internal/core/ask.go
@@ -109,10 +109,7 @@
 }
 
 func (core *Core) sendAsks(keeper string, questions []*ask) {
-	request := &apiv1.BindRequest{
-		Request:       core.identifier(),
-		PendingNumber: core.document.GetPending().GetNumber(),
-	}
+	request := &apiv1.BindRequest{Request: core.identifier()}
 	sent := &askRequest{deadline: core.now + milliseconds(core.config.AskTimeout)}
 	request.Opens = newBitmap(len(questions))
 	for index, question := range questions {
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -71,6 +71,11 @@
 	// answered as unavailable, which drops the packet.
 	MaximumAsks int
 
+	// MaximumRecords bounds the records kept, at about 120 bytes each. At the
+	// bound new flows follow the rule unrecorded, which may break them at the next
+	// change; it should exceed the displaced flows of the group by far.
+	MaximumRecords int
+
 	// RecordBytesPerSecond paces the offers of displaced flows. All control
 	// traffic of a node should fit its budget; this is the part that grows
 	// with the flows.
@@ -107,6 +112,7 @@
 		AskTimeout:           60 * time.Millisecond,
 		AskDeadline:          400 * time.Millisecond,
 		MaximumAsks:          4096,
+		MaximumRecords:       400_000,
 		RecordBytesPerSecond: 2048,
 		OfferSize:            200,
 		RecordIdleTime:       15 * time.Minute,
@@ -141,8 +147,8 @@
 	case config.AskDeadline < config.AskTimeout:
 		return errors.Newf("AskDeadline is %s; set it to AskTimeout (%s) or more",
 			config.AskDeadline, config.AskTimeout)
-	case config.OfferSize < 1 || config.MaximumAsks < 1 || config.RecordBytesPerSecond < 1:
-		return errors.New("OfferSize, MaximumAsks and RecordBytesPerSecond must be 1 or more")
+	case config.OfferSize < 1 || config.MaximumAsks < 1 || config.MaximumRecords < 1 || config.RecordBytesPerSecond < 1:
+		return errors.New("OfferSize, MaximumAsks, MaximumRecords and RecordBytesPerSecond must be 1 or more")
 	}
 	return nil
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -296,3 +296,19 @@
 	mesh.run(70 * time.Second)
 	require.Equal(t, uint32(1), ask(1), "a new flow")
 }
+
+func TestRecordsHaveABound(t *testing.T) {
+	mesh := newMesh(t)
+	for _, core := range mesh.cores {
+		core.config.MaximumRecords = 3
+	}
+	for number := range 20 {
+		mesh.cores["a"].Ask(mesh.now, key(number), 1, true, true)
+		resolutions := mesh.drain("a")
+		require.Len(t, resolutions, 1)
+		require.Equal(t, uint32(1), resolutions[0].Backend, "at the bound the proposal is the answer")
+	}
+	for _, core := range mesh.cores {
+		require.LessOrEqual(t, core.Kept(), 3)
+	}
+}
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -155,7 +155,8 @@
 	if kept != nil && !yields {
 		return kept.tentative && !replicated
 	}
-	if proposal == rule.NoBackend || core.lacks(GuardBind) {
+	full := len(core.records) >= core.config.MaximumRecords
+	if proposal == rule.NoBackend || full || core.lacks(GuardBind) {
 		return false
 	}
 	core.setRecord(key, proposal, !replicated)
--- a/internal/core/offer.go
+++ b/internal/core/offer.go
@@ -108,7 +108,7 @@
 }
 
 func (core *Core) recordHeld(held heldFlow) {
-	if core.records[held.key] == nil {
+	if core.records[held.key] == nil && len(core.records) < core.config.MaximumRecords {
 		core.setRecord(held.key, held.backend, false)
 	}
 }
@@ -283,16 +283,12 @@
 		prints = appendFingerprint(prints, fingerprintOf(held.key))
 	}
 	core.spend(len(prints))
-	message := &apiv1.RecordOffer{
-		Offer:        next.id,
-		EpochNumber:  core.targetNumber(),
-		Fingerprints: prints,
-	}
+	message := &apiv1.RecordOffer{Offer: next.id, Fingerprints: prints}
 	core.send(next.keeper, &apiv1.Envelope{Body: &apiv1.Envelope_RecordOffer{RecordOffer: message}})
 }
 
 func (core *Core) sendBatch(next *offer) {
-	batch := &apiv1.RecordBatch{Offer: next.id, EpochNumber: core.targetNumber()}
+	batch := &apiv1.RecordBatch{Offer: next.id}
 	for _, held := range next.flows {
 		batch.Keys = appendKey(batch.Keys, held.key)
 		batch.Backends = append(batch.Backends, held.backend)
