--- a/internal/core/marks.go
+++ b/internal/core/marks.go
@@ -43,10 +43,13 @@
 // Marks returns the known marks by back end.
 func (core *Core) Marks() []*apiv1.LeavingMark { return core.markList() }
 
+// addMark takes a new mark. A node that does not trust its view yet has opened
+// nothing under it that the others do not know, so it heeds the mark at once.
 func (core *Core) addMark(mark *apiv1.LeavingMark) {
 	core.marks[mark.GetBackend()] = &markState{
 		mark:        proto.CloneOf(mark),
 		learnedAt:   core.now,
+		active:      core.now > core.freshUntil(),
 		viewVersion: core.viewVersion + 1,
 	}
 	core.viewChanged = true
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -127,3 +127,20 @@
 	require.Greater(t, world.services[2].backends[0].opened, 50, "the new service must be served")
 	require.Positive(t, addressMove(core.GuardContact).Result.WrongService, "without contact")
 }
+
+// TestNewNodeHeedsMarks: a node that starts during an outage of the store sends
+// no new flow to a back end that has been leaving for long.
+func TestNewNodeHeedsMarks(t *testing.T) {
+	settings := small(1)
+	settings.Services[0].Arrivals = 200
+	world := New(settings)
+	world.At(25*time.Second, func() { world.StoreOutage(true) })
+	world.At(26*time.Second, func() { world.Kill(world.Nodes()[3]) })
+	world.At(30*time.Second, func() { world.DrainByMark(0, 1, world.Nodes()[0]) })
+	world.At(40*time.Second, func() { world.Start("giza") })
+	world.At(50*time.Second, func() { world.Start("nasr") })
+	world.Clock.RunUntil(60 * time.Second)
+	require.NoError(t, world.Check())
+	require.Zero(t, world.Result.TotalBroken())
+	require.Less(t, Percentile(world.Result.LeavingDelays, 100), 3*time.Second)
+}
