Repeat unconfirmed records ever more slowly

A keeper repeated every record to a dead one each 150 ms until it was fenced; it doubles the wait now. See docs/CAPACITY.md.

--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -55,11 +55,16 @@
 	// the records are then sent again until the other keeper has them.
 	answered bool
 	deadline uint32
+	// retry is the present wait, in milliseconds.
+	retry uint32
 }
 
-// replicationRetry is after how many milliseconds an unconfirmed record is sent
-// to the other keeper again.
-const replicationRetry = 150
+// Unconfirmed records are sent to the other keeper again, at first after
+// replicationRetry milliseconds, then after twice as long each time.
+const (
+	replicationRetry        = 150
+	replicationRetryMaximum = 2400
+)
 
 // setRecord stores a record of a flow.
 func (core *Core) setRecord(key flow.Key, backend uint32, tentative bool) {
@@ -273,7 +278,8 @@
 			delete(core.replications, id)
 			continue
 		}
-		part.deadline = core.now + replicationRetry
+		part.retry = min(max(2*part.retry, replicationRetry), replicationRetryMaximum)
+		part.deadline = core.now + part.retry
 		core.sendPart(id, part)
 	}
 }
