--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -306,15 +306,6 @@
 // Kept returns the number of records that this node keeps.
 func (core *Core) Kept() int { return len(core.records) }
 
-// Record returns the back end that this node keeps for a flow.
-func (core *Core) Record(key flow.Key) (uint32, bool) {
-	kept := core.records[key]
-	if kept == nil {
-		return rule.NoBackend, false
-	}
-	return kept.backend, true
-}
-
 // keepersFor returns who keeps a flow's record under a choice of keepers, self
 // included.
 func keepersFor(keepers *router.Keepers, key flow.Key) []string {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -84,6 +84,11 @@
 			world.At(60*seconds, func() { world.Reweigh(0, 5, 30) })
 			world.At(80*seconds, func() { world.Drain(0, 8) })
 		}},
+		{Name: "address-moves", Planned: true, Length: 120 * seconds, Play: func(world *World) {
+			world.At(40*seconds, func() { world.Pause(world.Nodes()[2]) })
+			world.At(41*seconds, world.MoveAddress)
+			world.At(60*seconds, func() { world.Resume(world.Nodes()[2]) })
+		}},
 		{Name: "cold-start", Planned: true, Length: 180 * seconds, Play: func(world *World) {
 			world.At(40*seconds, func() { world.AddBackend(0, 30) })
 			world.At(70*seconds, func() { world.Reweigh(0, 14, 100) })
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -150,17 +150,6 @@
 	return result
 }
 
-// Displaced reports whether a back end that holds a flow differs from what the
-// rules say by themselves, which is when the flow needs a record: the target
-// rule is the pending one when there is one, else the settled one.
-func (view *View) Displaced(key flow.Key, hash uint64, backend uint32) bool {
-	target := view.Settled.Rule(key.Address())
-	if view.Pending != nil {
-		target = view.Pending.Rule(key.Address())
-	}
-	return target == nil || target.Pick(hash) != backend
-}
-
 // Ambiguous reports whether the rules of the view differ on a flow.
 func (view *View) Ambiguous(key flow.Key, hash uint64) bool {
 	service := view.services[key.Address()]
@@ -194,14 +183,6 @@
 	return service.fallback.Service
 }
 
-// Fallback returns the rule for a flow that no record names, or nil.
-func (view *View) Fallback(address flow.Address) *rule.Rule {
-	if service := view.services[address]; service != nil {
-		return service.fallback
-	}
-	return nil
-}
-
 // Proposal returns the rule for new flows at an address, or nil.
 func (view *View) Proposal(address flow.Address) *rule.Rule {
 	if service := view.services[address]; service != nil {
--- a/internal/rule/rule.go
+++ b/internal/rule/rule.go
@@ -78,16 +78,6 @@
 	return append([]Candidate(nil), rule.candidates...)
 }
 
-// Names reports whether the rule lists the back end, with whatever weight.
-func (rule *Rule) Names(backend uint32) bool {
-	for _, candidate := range rule.candidates {
-		if candidate.Backend == backend {
-			return true
-		}
-	}
-	return false
-}
-
 // Pick returns the back end for a flow hash, or NoBackend when every weight is
 // 0. It does not allocate.
 func (rule *Rule) Pick(hash uint64) uint32 {
--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -48,6 +48,8 @@
 	nodes   map[string]*process
 	order   []string
 	started int
+	// stopped are the last counts of back ends that were stopped, by address.
+	stopped map[string]backend.Counts
 }
 
 func binary(t *testing.T, name string) string {
@@ -64,7 +66,8 @@
 // newCluster starts the platform, six nodes in three zones, two services and
 // their back ends. The number keeps the addresses of tests apart.
 func newCluster(t *testing.T, number int) *cluster {
-	cluster := &cluster{t: t, number: number, dir: t.TempDir(), nodes: make(map[string]*process)}
+	cluster := &cluster{t: t, number: number, dir: t.TempDir(),
+		nodes: make(map[string]*process), stopped: make(map[string]backend.Counts)}
 	t.Cleanup(cluster.stop)
 	cluster.start("store", "standin", "store", "--listen", cluster.ip(0, 1)+":7000")
 	cluster.start("machines", "standin", "machines", "--listen", cluster.ip(0, 1)+":7001", "--lag", "2s")
@@ -271,6 +274,9 @@
 }
 
 func (cluster *cluster) backend(net, place int) backend.Counts {
+	if counts, isStopped := cluster.stopped[cluster.ip(net, place+1)]; isStopped {
+		return counts
+	}
 	var counts backend.Counts
 	cluster.get(fmt.Sprintf("http://%s:7100/counts", cluster.ip(net, place+1)), &counts)
 	return counts
@@ -310,6 +316,16 @@
 	}
 }
 
+// stopBackend ends a drained back end's process.
+func (cluster *cluster) stopBackend(name string, net, place int) {
+	cluster.stopped[cluster.ip(net, place+1)] = cluster.backend(net, place)
+	for _, process := range cluster.all {
+		if process.name == name {
+			require.NoError(cluster.t, process.command.Process.Signal(syscall.SIGTERM))
+		}
+	}
+}
+
 // kill ends a node without notice; the fabric notices a second later.
 func (cluster *cluster) kill(id string) {
 	require.NoError(cluster.t, cluster.nodes[id].command.Process.Kill())
--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -57,6 +57,22 @@
 	cluster.judge(cluster.finish())
 }
 
+// TestBackendPlannedStop drains a back end, waits until its flows have ended,
+// and ends its process.
+func TestBackendPlannedStop(t *testing.T) {
+	t.Parallel()
+	cluster := newCluster(t, 7)
+	cluster.call(12, 20)
+	time.Sleep(3 * time.Second)
+	cluster.drain("lending", "lending-3", true)
+	cluster.waitInForce(10 * time.Second)
+	require.Eventually(t, func() bool { return cluster.backend(2, 3).Open == 0 }, 30*time.Second, 100*time.Millisecond)
+	require.Positive(t, cluster.backend(2, 3).Opened, "the back end must have had flows")
+	cluster.stopBackend("lending-3", 2, 3)
+	time.Sleep(3 * time.Second)
+	cluster.judge(cluster.finish())
+}
+
 // TestPauseDuringDrain stops a node's processor past its contact lease while a
 // back end leaves, and lets it go on.
 func TestPauseDuringDrain(t *testing.T) {
