Push a joining node the keepers' records

The keepers push their records once, 15 bytes a flow, paced; a hint answers a question about an open flow as the keeper would, for 45 s, never a SYN.

--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -181,7 +181,7 @@
 			fmt.Sprintf("(2 x %.0f epochs + %.0f changes) / day + %.0f groups / %d s", epochsPerDay, size.ChangesPerDay, group.groups, touchSeconds), "ranked back-off; sign of life"},
 		{"store", "watches opened", watches, "1/s", 0,
 			fmt.Sprintf("%.0f groups x %.0f watchers x %d keys / %d s", group.groups, size.Watchers, watchedKeys, watchSeconds), "watcher fan-out"},
-		{"joining node", "bytes to take part", boot, "B", 0,
+		{"joining node", "bytes to take part, without hints", boot, "B", 0,
 			fmt.Sprintf("%.0f document + configuration + %.0f filters", document, group.flows*displacedShare*filterBitsPerFlow/8), "state from one peer, filters from each keeper"},
 		{"joining node", "seconds to take part at the budget", boot / limits.BytesPerSecond, "s", limits.InForceSeconds,
 			fmt.Sprintf("%.0f B / %.0f B/s", boot, limits.BytesPerSecond), "asks while filters are missing"},
--- a/internal/core/ask.go
+++ b/internal/core/ask.go
@@ -45,6 +45,10 @@
 		known.bind = known.bind || bind
 		return
 	}
+	if backend, found := core.hint(key, opens); found {
+		core.out.Resolutions = append(core.out.Resolutions, Resolution{Key: key, Backend: backend, Recorded: true})
+		return
+	}
 	if len(core.asks) >= core.config.MaximumAsks || core.settledKeeper == nil {
 		core.out.Resolutions = append(core.out.Resolutions, Resolution{Key: key})
 		return
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -126,8 +126,13 @@
 	expiry      expiryState
 	recovery    recoveryState
 	purge       purgeState
-	nextID      uint64
-	loopback    []*apiv1.Envelope
+	// hints are records pushed by the keepers when this node joined.
+	hints      map[flow.Key]uint32
+	hintsUntil uint32
+	hintsAsked map[string]bool
+	hintQueue  []hintPush
+	nextID     uint64
+	loopback   []*apiv1.Envelope
 }
 
 // New makes the core of a node. The member's incarnation must be higher than
@@ -146,6 +151,8 @@
 		fingerprints: make(map[fingerprint]int),
 		replications: make(map[uint64]*replicationPart),
 		asks:         make(map[flow.Key]*ask),
+		hints:        make(map[flow.Key]uint32),
+		hintsAsked:   make(map[string]bool),
 		askRequests:  make(map[uint64]*askRequest),
 		offers:       make(map[uint64]*offer),
 		nextID:       self.GetIncarnation() << 20,
@@ -164,6 +171,7 @@
 	core.tickPurge()
 	core.tickDuty()
 	core.tickOffers()
+	core.tickHints()
 	core.tickFilters()
 	core.tickExpiry()
 	core.tickPhase()
@@ -204,6 +212,8 @@
 		core.stepRecordBatch(from, body.RecordBatch)
 	case *apiv1.Envelope_RecordAck:
 		core.stepRecordAck(from, body.RecordAck)
+	case *apiv1.Envelope_RecordHints:
+		core.stepRecordHints(body.RecordHints)
 	case *apiv1.Envelope_FilterPart:
 		core.stepFilterPart(from, body.FilterPart)
 	case *apiv1.Envelope_FilterRequest:
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -312,3 +312,27 @@
 		require.LessOrEqual(t, core.Kept(), 3)
 	}
 }
+
+// TestHintsSpareQuestions: a node that joins gets the keepers' records and
+// answers from them without a message; a SYN is still asked about.
+func TestHintsSpareQuestions(t *testing.T) {
+	mesh := newMesh(t)
+	for number := range 40 {
+		mesh.cores["a"].Ask(mesh.now, key(number), 1, true, true)
+		mesh.drain("a")
+	}
+	mesh.add("d", 1)
+	joined := mesh.cores["d"]
+	joined.ObserveConfiguration(mesh.now, &apiv1.Configuration{Revision: 1})
+	joined.SetDesired(mesh.now, 1, service(0), nil)
+	mesh.run(1500 * time.Millisecond)
+	require.Len(t, joined.hints, 40)
+	joined.Ask(mesh.now, key(7), 2, false, false)
+	out := joined.Ready()
+	require.Equal(t, []Resolution{{Key: key(7), Backend: 1, Recorded: true}}, out.Resolutions)
+	joined.Ask(mesh.now, key(8), 2, true, true)
+	require.Empty(t, joined.Ready().Resolutions)
+	mesh.now += hintLife + 1000
+	joined.Ask(mesh.now, key(9), 2, false, false)
+	require.Empty(t, joined.hints, "hints end")
+}
--- a/internal/core/filter.go
+++ b/internal/core/filter.go
@@ -117,7 +117,9 @@
 func (core *Core) askFilters(set *filterSet, epoch *apiv1.Epoch) {
 	for _, keeper := range core.missingFilters(set, epoch) {
 		if keeper != core.self.GetId() {
-			request := &apiv1.FilterRequest{EpochNumber: set.number}
+			// A joining node asks each keeper once for its records.
+			request := &apiv1.FilterRequest{EpochNumber: set.number, Hints: !core.isMember() && !core.hintsAsked[keeper]}
+			core.hintsAsked[keeper] = true
 			core.send(keeper, &apiv1.Envelope{Body: &apiv1.Envelope_FilterRequest{FilterRequest: request}})
 		}
 	}
@@ -197,6 +199,9 @@
 	if set := core.filterSetOf(request.GetEpochNumber()); set != nil {
 		core.sendFilter(from, set)
 	}
+	if request.GetHints() && core.settled != nil && request.GetEpochNumber() == core.settled.Number {
+		core.stepHintRequest(from)
+	}
 }
 
 func (core *Core) stepFilterPart(from string, part *apiv1.FilterPart) {
--- /dev/null
+++ b/internal/core/hint.go
@@ -0,0 +1,83 @@
+package core
+
+import (
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/rule"
+)
+
+// A node that joins meets all flows of its group for the first time within
+// seconds, and would ask about each displaced one. Instead the keepers push it
+// their records, as hints. A record names the flow's back end for the flow's
+// life, so a hint answers a question about an open flow as the keeper would.
+// Hints end after hintLife, well before the ports of an ended flow are used anew.
+
+const (
+	// hintBatch is how many records one push carries.
+	hintBatch = 100
+	// hintLife is how long, in milliseconds after the last push, hints are used.
+	hintLife = 45_000
+)
+
+// stepHintRequest queues this keeper's displaced records for a joining node.
+func (core *Core) stepHintRequest(from string) {
+	var flows []heldFlow
+	for key, kept := range core.records {
+		first, _ := core.settledKeeper.Pick(key.Hash())
+		if first == core.self.GetId() && !kept.tentative {
+			flows = append(flows, heldFlow{key: key, backend: kept.backend})
+		}
+	}
+	for len(flows) > 0 {
+		count := min(hintBatch, len(flows))
+		core.hintQueue = append(core.hintQueue, hintPush{to: from, flows: flows[:count]})
+		flows = flows[count:]
+	}
+}
+
+// hintPush is one queued push.
+type hintPush struct {
+	to    string
+	flows []heldFlow
+}
+
+// tickHints sends queued pushes within the record budget.
+func (core *Core) tickHints() {
+	for len(core.hintQueue) > 0 && core.offerTokens > 0 {
+		next := core.hintQueue[0]
+		core.hintQueue = core.hintQueue[1:]
+		push := &apiv1.RecordHints{}
+		for _, held := range next.flows {
+			push.Keys = appendKey(push.Keys, held.key)
+			push.Backends = append(push.Backends, held.backend)
+		}
+		core.spend(len(push.GetKeys()) + 2*len(push.GetBackends()))
+		core.send(next.to, &apiv1.Envelope{Body: &apiv1.Envelope_RecordHints{RecordHints: push}})
+	}
+}
+
+func (core *Core) stepRecordHints(push *apiv1.RecordHints) {
+	keys, err := readKeys(push.GetKeys())
+	if err != nil || len(keys) != len(push.GetBackends()) {
+		return
+	}
+	core.hintsUntil = core.now + hintLife
+	for index, key := range keys {
+		if len(core.hints) < core.config.MaximumRecords {
+			core.hints[key] = push.GetBackends()[index]
+		}
+	}
+}
+
+// hint answers a question about an open flow from the pushed records. A SYN is
+// not answered: its ports may be used anew.
+func (core *Core) hint(key flow.Key, opens bool) (uint32, bool) {
+	if core.now > core.hintsUntil {
+		clear(core.hints)
+	}
+	if opens {
+		return rule.NoBackend, false
+	}
+	backend, found := core.hints[key]
+	return backend, found
+}
