--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -2,9 +2,10 @@
 // platform's store, back ends and callers in one process and in virtual time.
 //
 // The nodes run the real control state (package core) and the real routing
-// (package router); only sockets and clocks are modelled. A run is a pure
-// function of its settings and seed. The world sees everything, so it checks
-// after every packet what must always hold.
+// (package router); only sockets and clocks are modelled. A run follows from its
+// settings and seed, up to the order in which the core goes over its maps, which
+// Go varies: counts differ a little from run to run. The world sees everything,
+// so it checks all the time what must always hold.
 package lab
 
 import (
