--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -30,13 +30,18 @@
 
 type eventQueue []event
 
+// Len implements heap.Interface.
 func (queue eventQueue) Len() int { return len(queue) }
+
+// Less implements heap.Interface: earlier events first, in order of planning.
 func (queue eventQueue) Less(i, j int) bool {
 	if queue[i].at != queue[j].at {
 		return queue[i].at < queue[j].at
 	}
 	return queue[i].order < queue[j].order
 }
+
+// Swap implements heap.Interface.
 func (queue eventQueue) Swap(i, j int) { queue[i], queue[j] = queue[j], queue[i] }
 
 // Push implements heap.Interface.
