--- /dev/null
+++ b/cmd/balancer/main.go
@@ -0,0 +1,82 @@
+// Command balancer runs indigobarrow on a network that carries flow tokens,
+// with the platform adapter.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/balancer"
+	"github.com/indigobarrow/indigobarrow/internal/settings"
+	"github.com/indigobarrow/indigobarrow/platform"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := root().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "balancer:", err)
+		os.Exit(1)
+	}
+}
+
+func root() *cli.Command {
+	return &cli.Command{
+		Name:  "balancer",
+		Usage: "run a balancer that binds flows by tokens",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Sources: cli.EnvVars("INDIGOBARROW_CONFIG")}},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			loaded, err := settings.LoadBalancer(command.String("settings"), nil)
+			if err != nil {
+				return err
+			}
+			return run(ctx, loaded)
+		},
+	}
+}
+
+// run serves until SIGTERM, which is a planned stop: the balancer says that it
+// is not ready, forwards until the routers have turned away, and ends.
+func run(ctx context.Context, loaded *apiv1.BalancerSettings) error {
+	logger := newLogger(loaded)
+	made, err := balancer.New(loaded, outside(loaded, logger), logger)
+	if err != nil {
+		return err
+	}
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	go func() {
+		<-ctx.Done()
+		made.Stop(running)
+		cancel()
+	}()
+	return made.Run(running)
+}
+
+func outside(loaded *apiv1.BalancerSettings, logger *slog.Logger) balancer.Outside {
+	clientPort := netip.MustParseAddrPort(loaded.GetDataAddress()).Port()
+	faulty := func(err error) { logger.Warn("Store: entry not understood.", "error", err) }
+	return balancer.Outside{
+		Codec:     platform.Codec{ClientPort: clientPort},
+		Store:     platform.NewStore(loaded.GetStoreAddress(), faulty),
+		Readiness: platform.ReadinessHandler,
+	}
+}
+
+func newLogger(loaded *apiv1.BalancerSettings) *slog.Logger {
+	level := new(slog.LevelVar)
+	_ = level.UnmarshalText([]byte(loaded.GetLogLevel()))
+	options := &slog.HandlerOptions{Level: level}
+	if loaded.GetLogFormat() == "json" {
+		return slog.New(slog.NewJSONHandler(os.Stdout, options))
+	}
+	return slog.New(slog.NewTextHandler(os.Stdout, options))
+}
--- /dev/null
+++ b/internal/balancer/announce.go
@@ -0,0 +1,69 @@
+package balancer
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+)
+
+const (
+	// leaseLength is how long the entry of a balancer outlives it.
+	leaseLength = 20 * time.Second
+	// renewInterval leaves room for two renewals that fail.
+	renewInterval = leaseLength / 3
+	// announceDelay lets a start go by before the entry is written.
+	announceDelay = 300 * time.Millisecond
+)
+
+// announce keeps the entry of this balancer in the store, under a lease, so
+// that the others find it. Failures cost nothing but that.
+func (balancer *Balancer) announce(ctx context.Context) error {
+	lease := uint64(0)
+	pause := announceDelay
+	for {
+		pause += rand.N(pause / 2)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(pause):
+		}
+		pause = renewInterval
+		if balancer.stopping.Load() {
+			continue
+		}
+		var err error
+		lease, err = balancer.renew(ctx, lease)
+		if err != nil {
+			balancer.logger.Debug("Announcement failed.", "error", err)
+			pause = time.Second
+		}
+	}
+}
+
+// renew renews the lease, or takes one and writes the entry when there is none.
+// It returns the lease in force, 0 for none.
+func (balancer *Balancer) renew(ctx context.Context, lease uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
+	defer cancel()
+	if lease != 0 {
+		if err := balancer.outside.Store.Renew(ctx, lease); err != nil {
+			return 0, err
+		}
+		return lease, nil
+	}
+	lease, err := balancer.outside.Store.Lease(ctx, leaseLength)
+	if err != nil {
+		return 0, err
+	}
+	entry := &apiv1.Balancer{
+		Name:        balancer.settings.GetName(),
+		Zone:        balancer.settings.GetZone(),
+		PeerAddress: balancer.settings.GetPeerAddress(),
+	}
+	if err := balancer.outside.Store.Announce(ctx, entry, lease); err != nil {
+		return 0, err
+	}
+	return lease, nil
+}
--- /dev/null
+++ b/internal/balancer/balancer.go
@@ -0,0 +1,157 @@
+package balancer
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/events"
+	"github.com/indigobarrow/indigobarrow/internal/replication"
+	"github.com/indigobarrow/indigobarrow/internal/tokenroute"
+)
+
+// Codec reads and writes the packets of the network that the balancer serves.
+type Codec interface {
+	MaximumSize() int
+	Decode(datagram []byte) (tokenroute.Packet, error)
+	// Forward appends the datagram that takes a packet to a back end.
+	Forward(output, datagram []byte, backend *tokenroute.Backend) []byte
+	// Refuse appends the packet that refuses a new flow.
+	Refuse(output []byte, packet tokenroute.Packet) []byte
+	// Client is where packets for the sender of a packet go.
+	Client(packet tokenroute.Packet) netip.AddrPort
+}
+
+// Store is the store that holds what operators and back ends have written.
+type Store interface {
+	// Snapshot reads every entry.
+	Snapshot(ctx context.Context) (*apiv1.DirectoryBatch, error)
+	// Lease asks for a lease and returns its number.
+	Lease(ctx context.Context, length time.Duration) (uint64, error)
+	// Renew renews a lease.
+	Renew(ctx context.Context, lease uint64) error
+	// Announce writes the entry of a balancer under a lease.
+	Announce(ctx context.Context, balancer *apiv1.Balancer, lease uint64) error
+}
+
+// Outside is what a balancer needs of the world that it runs in.
+type Outside struct {
+	Codec Codec
+	Store Store
+	// Readiness makes the handler that tells routers whether to send packets.
+	Readiness func(ready func() bool) http.Handler
+}
+
+// Balancer is one running balancer.
+type Balancer struct {
+	settings *apiv1.BalancerSettings
+	outside  Outside
+	logger   *slog.Logger
+	started  time.Time
+	bus      *events.Bus
+	table    atomic.Pointer[tokenroute.Table]
+	stopping atomic.Bool
+	control  *control
+	traffic  *traffic
+	peers    net.Listener
+	probes   net.Listener
+}
+
+// New opens the sockets of a balancer.
+func New(settings *apiv1.BalancerSettings, outside Outside, logger *slog.Logger) (*Balancer, error) {
+	made := &Balancer{
+		settings: settings,
+		outside:  outside,
+		logger:   logger,
+		started:  time.Now(),
+		bus:      events.NewBus(),
+	}
+	if err := made.listen(); err != nil {
+		return nil, err
+	}
+	made.control = newControl(made, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	return made, nil
+}
+
+func (balancer *Balancer) listen() error {
+	address, err := netip.ParseAddrPort(balancer.settings.GetDataAddress())
+	if err != nil {
+		return errors.Wrap(err, "data address")
+	}
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return errors.Wrapf(err, "traffic: listen on %s", address)
+	}
+	balancer.traffic = newTraffic(balancer, socket)
+	balancer.peers, err = net.Listen("tcp4", balancer.settings.GetPeerAddress())
+	if err != nil {
+		return errors.Wrapf(err, "peers: listen on %s", balancer.settings.GetPeerAddress())
+	}
+	balancer.probes, err = net.Listen("tcp4", balancer.settings.GetReadinessAddress())
+	return errors.Wrapf(err, "readiness: listen on %s", balancer.settings.GetReadinessAddress())
+}
+
+// Ready tells whether the balancer takes new flows.
+func (balancer *Balancer) Ready() bool {
+	return balancer.table.Load() != nil && !balancer.stopping.Load()
+}
+
+// Run serves until the context ends.
+func (balancer *Balancer) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return balancer.traffic.run(ctx) })
+	group.Go(func() error { return balancer.control.run(ctx) })
+	group.Go(func() error { return replication.Serve(ctx, balancer.peers, balancer.control) })
+	group.Go(func() error { return balancer.serveReadiness(ctx) })
+	group.Go(func() error { return balancer.announce(ctx) })
+	return group.Wait()
+}
+
+const headerTimeout = 5 * time.Second
+
+func (balancer *Balancer) serveReadiness(ctx context.Context) error {
+	server := &http.Server{Handler: balancer.outside.Readiness(balancer.Ready), ReadHeaderTimeout: headerTimeout}
+	go func() {
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	err := server.Serve(balancer.probes)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.Wrap(err, "readiness: serve")
+}
+
+// stopQuiet is how long no packet must have come before a planned stop ends.
+const stopQuiet = 600 * time.Millisecond
+
+// Stop tells the routers to send elsewhere and returns when they do, or when
+// the limit of the settings has passed. Packets are forwarded meanwhile.
+func (balancer *Balancer) Stop(ctx context.Context) {
+	balancer.logger.Info("Stopping as planned.")
+	balancer.stopping.Store(true)
+	began := time.Now()
+	limit := time.Duration(balancer.settings.GetStopMilliseconds()) * time.Millisecond
+	ticker := time.NewTicker(stopQuiet / 4)
+	defer ticker.Stop()
+	for time.Since(began) < limit {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if time.Since(began) >= 2*stopQuiet && balancer.traffic.idle() >= stopQuiet {
+			break
+		}
+	}
+	balancer.logger.Info("Stopped.", "after", time.Since(began).Round(time.Millisecond), "idle", balancer.traffic.idle().Round(time.Millisecond))
+}
--- /dev/null
+++ b/internal/balancer/calls.go
@@ -0,0 +1,143 @@
+package balancer
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/events"
+	"github.com/indigobarrow/indigobarrow/internal/replication"
+)
+
+const (
+	// storeTimeout bounds a call to the store. A slow store answers within
+	// half of it.
+	storeTimeout = time.Second
+	// followWait is how long a call to a peer waits for news.
+	followWait = time.Second
+)
+
+// poll reads the store once.
+func (control *control) poll(ctx context.Context, now time.Time) {
+	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	batch, err := control.balancer.outside.Store.Snapshot(bounded)
+	control.publish(ctx, &apiv1.DirectoryNews{
+		Batch:           batch,
+		AsOfNanoseconds: int64(now.Sub(control.balancer.started)),
+	}, err)
+}
+
+// follow asks a peer for news once. What the peer knew was confirmed no later
+// than its age before the answer left, and the answer left no earlier than the
+// call did plus the time that it waited there.
+func (control *control) follow(ctx context.Context, peer replication.Peer, after uint64) {
+	sent := time.Now()
+	request := &apiv1.FollowRequest{
+		From:             control.balancer.settings.GetName(),
+		After:            after,
+		WaitMilliseconds: uint32(followWait.Milliseconds()),
+	}
+	if peer.Everything {
+		request.After, request.WaitMilliseconds = 0, 0
+	}
+	reply, err := control.client.Follow(ctx, peer.Address, request)
+	left := sent.Add(time.Duration(reply.GetWaitedMilliseconds()) * time.Millisecond)
+	asOf := left.Add(-time.Duration(reply.GetAgeMilliseconds()) * time.Millisecond)
+	control.publish(ctx, &apiv1.DirectoryNews{
+		Batch:           reply.GetBatch(),
+		AsOfNanoseconds: int64(asOf.Sub(control.balancer.started)),
+		Peer:            peer.Address,
+		Everything:      peer.Everything,
+	}, err)
+}
+
+func (control *control) publish(ctx context.Context, news *apiv1.DirectoryNews, failure error) {
+	if failure != nil {
+		news.Error = failure.Error()
+	}
+	err := control.balancer.bus.Publish(events.Event{Kind: events.KindNews, Body: news})
+	if err != nil && ctx.Err() == nil {
+		control.balancer.logger.Error("Control: event lost.", "error", err)
+	}
+}
+
+// follower is a call of another balancer that waits for news.
+type follower struct {
+	after   uint64
+	takenAt time.Time
+	until   time.Time
+	reply   chan *apiv1.FollowReply
+}
+
+// errBusy is what a balancer with too many followers answers.
+var errBusy = errors.New("too many balancers follow this one; ask another")
+
+// Follow implements replication.Handler. It runs in the goroutine of the call.
+func (control *control) Follow(ctx context.Context, request *apiv1.FollowRequest) (*apiv1.FollowReply, error) {
+	now := time.Now()
+	asking := &follower{
+		after:   request.GetAfter(),
+		takenAt: now,
+		until:   now.Add(time.Duration(request.GetWaitMilliseconds()) * time.Millisecond),
+		reply:   make(chan *apiv1.FollowReply, 1),
+	}
+	select {
+	case control.followers <- asking:
+	default:
+		return nil, errBusy
+	}
+	select {
+	case reply := <-asking.reply:
+		return reply, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// take lets a follower wait, or answers it at once when there is no room.
+func (control *control) take(asking *follower) {
+	if len(control.waiting) >= followersLimit {
+		asking.until = asking.takenAt
+	}
+	control.waiting = append(control.waiting, asking)
+}
+
+// answerWaiting answers the followers for whom there is news: entries, or a
+// younger confirmation than when they asked.
+func (control *control) answerWaiting(now time.Time) {
+	kept := control.waiting[:0]
+	for _, asking := range control.waiting {
+		if !control.answer(asking, now) {
+			kept = append(kept, asking)
+		}
+	}
+	clear(control.waiting[len(kept):])
+	control.waiting = kept
+}
+
+func (control *control) answer(asking *follower, now time.Time) bool {
+	age, known := control.core.Age(now)
+	if !known && now.Before(asking.until) {
+		return false
+	}
+	confirmedSince := known && now.Sub(asking.takenAt) > age
+	if asking.after >= control.known.Revision() && !confirmedSince && now.Before(asking.until) {
+		return false
+	}
+	reply := &apiv1.FollowReply{
+		Batch:              control.known.Since(asking.after),
+		AgeMilliseconds:    uint32(age.Milliseconds()) + 1,
+		WaitedMilliseconds: uint32(now.Sub(asking.takenAt).Milliseconds()),
+	}
+	if !known {
+		reply.AgeMilliseconds = unknownAge
+	}
+	asking.reply <- reply
+	return true
+}
+
+// unknownAge is the age in milliseconds of knowledge that nobody confirmed.
+const unknownAge = 1 << 30
--- /dev/null
+++ b/internal/balancer/control.go
@@ -0,0 +1,236 @@
+package balancer
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/directory"
+	"github.com/indigobarrow/indigobarrow/internal/events"
+	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/replication"
+	"github.com/indigobarrow/indigobarrow/internal/tokenroute"
+)
+
+const (
+	// tickInterval is how often timers of the control state are looked at.
+	tickInterval = 50 * time.Millisecond
+	// lapseGrace is for how long back ends that vanished together, without a
+	// notice, may still take new flows.
+	lapseGrace = 1500 * time.Millisecond
+	// peerPause is for how long a peer that failed is passed over.
+	peerPause = 2 * time.Second
+	// storeBackoffLimit is the longest pause between calls to a store that
+	// fails.
+	storeBackoffLimit = time.Second
+	// followersLimit bounds the followers' calls that wait at once.
+	followersLimit = 256
+)
+
+// control is the state of the control goroutine.
+type control struct {
+	balancer  *Balancer
+	known     *directory.Directory
+	core      *replication.Core
+	client    *replication.Client
+	followers chan *follower
+	waiting   []*follower
+	polling   bool
+	following bool
+	// former are the pools that addresses had, and when they last had them.
+	former   map[flow.Address]map[string]time.Time
+	firstAt  time.Time
+	rebuild  bool
+	nextTurn time.Time
+}
+
+func newControl(balancer *Balancer, chance *rand.Rand) *control {
+	settings := balancer.settings
+	retention := time.Duration(settings.GetFlowMilliseconds()) * time.Millisecond
+	made := &control{
+		balancer: balancer,
+		known:    directory.New(retention),
+		core: replication.NewCore(replication.Config{
+			Name:         settings.GetName(),
+			Zone:         settings.GetZone(),
+			Address:      settings.GetPeerAddress(),
+			Seeds:        settings.GetSeeds(),
+			PollInterval: time.Duration(settings.GetPollMilliseconds()) * time.Millisecond,
+			StaleAfter:   time.Duration(settings.GetStaleMilliseconds()) * time.Millisecond,
+			TreeWidth:    replication.DefaultTreeWidth,
+			PeerPause:    peerPause,
+			BackoffLimit: storeBackoffLimit,
+		}, chance),
+		client:    replication.NewClient(balancer.logger),
+		followers: make(chan *follower, followersLimit),
+		former:    make(map[flow.Address]map[string]time.Time),
+	}
+	made.core.SetBalancers(nil)
+	return made
+}
+
+func (control *control) run(ctx context.Context) error {
+	defer control.client.Close()
+	messages, err := control.balancer.bus.Subscribe(ctx)
+	if err != nil {
+		return err
+	}
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	control.tick(ctx, time.Now())
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case carried, open := <-messages:
+			if !open {
+				return nil
+			}
+			control.handle(carried)
+		case asking := <-control.followers:
+			control.take(asking)
+		case <-ticker.C:
+		}
+		control.tick(ctx, time.Now())
+	}
+}
+
+// tick starts the calls that are due, answers followers and renews the table.
+func (control *control) tick(ctx context.Context, now time.Time) {
+	if !control.polling && control.core.ShouldPoll(now) {
+		control.polling = true
+		control.core.PollStarted(now)
+		go control.poll(ctx, now)
+	}
+	if !control.following {
+		if peer, found := control.core.NextPeer(now); found {
+			control.following = true
+			go control.follow(ctx, peer, control.known.Revision())
+		}
+	}
+	control.answerWaiting(now)
+	if control.known.Expire(now) {
+		control.rebuild = true
+	}
+	if control.rebuild || !control.nextTurn.IsZero() && now.After(control.nextTurn) {
+		control.renewTable(now)
+	}
+}
+
+func (control *control) handle(carried *message.Message) {
+	event, err := events.Decode(carried)
+	if err != nil {
+		control.balancer.logger.Error("Control: event not understood.", "error", err)
+		return
+	}
+	if news, isNews := event.Body.(*apiv1.DirectoryNews); isNews {
+		control.learn(news, time.Now())
+	}
+}
+
+// learn takes the answer of the store or of a peer.
+func (control *control) learn(news *apiv1.DirectoryNews, now time.Time) {
+	peer := replication.Peer{Address: news.GetPeer(), Everything: news.GetEverything()}
+	asOf := control.balancer.started.Add(time.Duration(news.GetAsOfNanoseconds()))
+	fromStore := news.GetPeer() == ""
+	control.polling = control.polling && !fromStore
+	control.following = control.following && fromStore
+	switch {
+	case news.GetError() != "" && fromStore:
+		control.core.PollFailed(now)
+	case news.GetError() != "":
+		control.core.PeerFailed(peer, now)
+	case fromStore:
+		control.core.PollSucceeded()
+	default:
+		control.core.PeerAnswered(peer, asOf, now)
+	}
+	if news.GetError() != "" {
+		control.balancer.logger.Debug("Control: call failed.", "peer", news.GetPeer(), "error", news.GetError())
+		return
+	}
+	if control.known.Apply(news.GetBatch(), now) {
+		control.rebuild = true
+		control.core.SetBalancers(control.known.Balancers())
+	}
+	control.core.Confirm(asOf)
+}
+
+// renewTable builds the table that packets are decided by.
+func (control *control) renewTable(now time.Time) {
+	control.rebuild = false
+	control.nextTurn = time.Time{}
+	control.rememberPools(now)
+	table := tokenroute.NewTable(control.known, tokenroute.Options{
+		Weigh:      control.weigh,
+		Former:     control.formerPools(now),
+		AdmitAll:   now.Sub(control.firstAt) < control.flowLife(),
+		LapseGrace: lapseGrace,
+		Now:        now,
+	})
+	if table == nil {
+		return
+	}
+	control.scheduleTurn(now)
+	previous := control.balancer.table.Swap(table)
+	if previous == nil || previous.Version != table.Version {
+		control.balancer.logger.Info("Control: configuration in force.", "version", table.Version,
+			"revision", table.Revision, "routes", table.Routes())
+	}
+}
+
+func (control *control) flowLife() time.Duration {
+	return time.Duration(control.balancer.settings.GetFlowMilliseconds()) * time.Millisecond
+}
+
+// scheduleTurn sets when the table changes without news: vanished back ends
+// lose their grace.
+func (control *control) scheduleTurn(now time.Time) {
+	for _, backend := range control.known.Backends() {
+		end := backend.GoneAt.Add(lapseGrace)
+		if !backend.Gone || !now.Before(end) {
+			continue
+		}
+		if control.nextTurn.IsZero() || end.Before(control.nextTurn) {
+			control.nextTurn = end
+		}
+	}
+}
+
+// rememberPools notes the pools of each address, whose open flows stay on them
+// when a later configuration names others.
+func (control *control) rememberPools(now time.Time) {
+	if control.known.Routes() != nil && control.firstAt.IsZero() {
+		control.firstAt = now
+	}
+	for _, route := range control.known.Routes().GetRoutes() {
+		address := tokenroute.AddressOf(route)
+		pools := control.former[address]
+		if pools == nil {
+			pools = make(map[string]time.Time)
+			control.former[address] = pools
+		}
+		for _, share := range route.GetPools() {
+			pools[share.GetPool()] = now
+		}
+	}
+}
+
+func (control *control) formerPools(now time.Time) map[flow.Address]map[string]bool {
+	found := make(map[flow.Address]map[string]bool, len(control.former))
+	for address, pools := range control.former {
+		kept := make(map[string]bool, len(pools))
+		for pool, lastAt := range pools {
+			if now.Sub(lastAt) > control.flowLife() {
+				delete(pools, pool)
+				continue
+			}
+			kept[pool] = true
+		}
+		found[address] = kept
+	}
+	return found
+}
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,231 @@
+package directory
+
+import (
+	"sort"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+)
+
+// Unreadable is the revision of a change whose content could not be read. It
+// names an entry that exists, so that nothing known of it is lost.
+const Unreadable uint64 = 0
+
+// Kind tells what an entry describes.
+type Kind uint8
+
+// The kinds of entries.
+const (
+	KindNone Kind = iota
+	KindRoutes
+	KindBackend
+	KindBalancer
+	KindPolicy
+)
+
+// Key names an entry. The table of routes has no name.
+type Key struct {
+	Kind Kind
+	Name string
+}
+
+// KeyOf returns the key of the entry that a change is about.
+func KeyOf(change *apiv1.DirectoryChange) Key {
+	switch entry := change.GetEntry().(type) {
+	case *apiv1.DirectoryChange_Routes:
+		return Key{Kind: KindRoutes}
+	case *apiv1.DirectoryChange_Backend:
+		return Key{Kind: KindBackend, Name: entry.Backend.GetId()}
+	case *apiv1.DirectoryChange_Balancer:
+		return Key{Kind: KindBalancer, Name: entry.Balancer.GetName()}
+	case *apiv1.DirectoryChange_Policy:
+		return Key{Kind: KindPolicy, Name: entry.Policy.GetName()}
+	}
+	return Key{}
+}
+
+// entry is one entry and when this directory learned of its removal.
+type entry struct {
+	change *apiv1.DirectoryChange
+	goneAt time.Time
+}
+
+// Directory is the knowledge of one balancer. It belongs to one goroutine.
+type Directory struct {
+	retention time.Duration
+	revision  uint64
+	// forgotten is the highest revision of a tombstone that was dropped. Who
+	// knows less than that needs a complete batch.
+	forgotten uint64
+	entries   map[Key]*entry
+}
+
+// New makes an empty directory that keeps tombstones for the given time.
+func New(retention time.Duration) *Directory {
+	return &Directory{retention: retention, entries: make(map[Key]*entry)}
+}
+
+// Revision is the revision up to which everything is known; 0 is nothing.
+func (directory *Directory) Revision() uint64 { return directory.revision }
+
+// Apply merges a batch and tells whether any entry changed.
+func (directory *Directory) Apply(batch *apiv1.DirectoryBatch, now time.Time) bool {
+	changed := false
+	for _, change := range batch.GetChanges() {
+		changed = directory.merge(change, now) || changed
+	}
+	if batch.GetComplete() {
+		changed = directory.removeUnnamed(batch, now) || changed
+	}
+	directory.revision = max(directory.revision, batch.GetRevision())
+	return changed
+}
+
+// merge takes one change if it is newer than what is known. A change that
+// holds what is known already keeps its old revision, so that it is not passed
+// on to other balancers as news.
+func (directory *Directory) merge(change *apiv1.DirectoryChange, now time.Time) bool {
+	key := KeyOf(change)
+	if key.Kind == KindNone || change.GetRevision() == Unreadable {
+		return false
+	}
+	known := directory.entries[key]
+	if known == nil {
+		made := &entry{change: change}
+		if change.GetGone() {
+			made.goneAt = now
+		}
+		directory.entries[key] = made
+		return true
+	}
+	if change.GetRevision() <= known.change.GetRevision() {
+		return false
+	}
+	if change.GetGone() {
+		return directory.bury(known, change.GetRevision(), now)
+	}
+	if !known.change.GetGone() && sameContent(known.change, change) {
+		return false
+	}
+	known.change = change
+	known.goneAt = time.Time{}
+	return true
+}
+
+// bury turns an entry into a tombstone that keeps what the entry last held.
+func (directory *Directory) bury(known *entry, revision uint64, now time.Time) bool {
+	wasGone := known.change.GetGone()
+	buried := proto.CloneOf(known.change)
+	buried.Revision = revision
+	buried.Gone = true
+	known.change = buried
+	if !wasGone {
+		known.goneAt = now
+	}
+	return !wasGone
+}
+
+func sameContent(known, offered *apiv1.DirectoryChange) bool {
+	compared := &apiv1.DirectoryChange{Revision: known.GetRevision(), Entry: offered.GetEntry()}
+	return proto.Equal(known, compared)
+}
+
+// removeUnnamed buries the entries that a complete batch would have named.
+func (directory *Directory) removeUnnamed(batch *apiv1.DirectoryBatch, now time.Time) bool {
+	named := make(map[Key]bool, len(batch.GetChanges()))
+	for _, change := range batch.GetChanges() {
+		named[KeyOf(change)] = true
+	}
+	changed := false
+	for key, known := range directory.entries {
+		if named[key] || known.change.GetGone() || known.change.GetRevision() > batch.GetRevision() {
+			continue
+		}
+		changed = directory.bury(known, batch.GetRevision(), now) || changed
+	}
+	return changed
+}
+
+// Expire drops tombstones that are older than the retention. It tells whether
+// any was dropped.
+func (directory *Directory) Expire(now time.Time) bool {
+	dropped := false
+	for key, known := range directory.entries {
+		if !known.change.GetGone() || now.Sub(known.goneAt) < directory.retention {
+			continue
+		}
+		directory.forgotten = max(directory.forgotten, known.change.GetRevision())
+		delete(directory.entries, key)
+		dropped = true
+	}
+	return dropped
+}
+
+// Since returns what changed after a revision. When tombstones after it were
+// dropped, or when the asker knows nothing, the batch is complete.
+func (directory *Directory) Since(after uint64) *apiv1.DirectoryBatch {
+	complete := after == 0 || after < directory.forgotten
+	batch := &apiv1.DirectoryBatch{Revision: directory.revision, Complete: complete}
+	for _, known := range directory.entries {
+		if complete || known.change.GetRevision() > after {
+			batch.Changes = append(batch.Changes, known.change)
+		}
+	}
+	sort.Slice(batch.Changes, func(i, j int) bool {
+		return batch.Changes[i].GetRevision() < batch.Changes[j].GetRevision()
+	})
+	return batch
+}
+
+// Routes returns the table of routes, or nil while none is known.
+func (directory *Directory) Routes() *apiv1.RouteTable {
+	known := directory.entries[Key{Kind: KindRoutes}]
+	if known == nil {
+		return nil
+	}
+	return known.change.GetRoutes()
+}
+
+// BackendEntry is a back end and, when its entry was removed, since when.
+type BackendEntry struct {
+	*apiv1.PoolBackend
+	Gone   bool
+	GoneAt time.Time
+}
+
+// Backends returns all back ends, those with a tombstone too, by id.
+func (directory *Directory) Backends() []BackendEntry {
+	var found []BackendEntry
+	for key, known := range directory.entries {
+		backend := known.change.GetBackend()
+		if key.Kind != KindBackend || backend.GetAddress() == 0 {
+			continue
+		}
+		found = append(found, BackendEntry{PoolBackend: backend, Gone: known.change.GetGone(), GoneAt: known.goneAt})
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].GetId() < found[j].GetId() })
+	return found
+}
+
+// Balancers returns the balancers that have an entry, by name.
+func (directory *Directory) Balancers() []*apiv1.Balancer {
+	var found []*apiv1.Balancer
+	for key, known := range directory.entries {
+		if key.Kind == KindBalancer && !known.change.GetGone() {
+			found = append(found, known.change.GetBalancer())
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].GetName() < found[j].GetName() })
+	return found
+}
+
+// Policy returns the policy of a name, or nil.
+func (directory *Directory) Policy(name string) *apiv1.Policy {
+	known := directory.entries[Key{Kind: KindPolicy, Name: name}]
+	if known == nil || known.change.GetGone() {
+		return nil
+	}
+	return known.change.GetPolicy()
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -33,6 +33,8 @@
 	KindWritten Kind = "written"
 	// KindAlive: the group's sign of life in the store has changed.
 	KindAlive Kind = "alive"
+	// KindNews: the store or a peer answered a balancer, or failed to.
+	KindNews Kind = "news"
 	// KindLeave: this node is to stop as planned.
 	KindLeave Kind = "leave"
 )
@@ -117,6 +119,8 @@
 		return &apiv1.Member{}
 	case KindRules:
 		return &apiv1.Epoch{}
+	case KindNews:
+		return &apiv1.DirectoryNews{}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/replication/core.go
@@ -0,0 +1,207 @@
+package replication
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+)
+
+// Config is what the pace of replication depends on.
+type Config struct {
+	// Name, Zone and Address are those of this balancer.
+	Name, Zone, Address string
+	// Seeds are addresses of balancers to ask while none is known.
+	Seeds []string
+	// PollInterval is how often the reader of a zone reads the store.
+	PollInterval time.Duration
+	// StaleAfter is the age of knowledge at which every balancer reads it.
+	StaleAfter time.Duration
+	// TreeWidth is how many balancers follow one.
+	TreeWidth int
+	// PeerPause is for how long a peer that failed is passed over.
+	PeerPause time.Duration
+	// BackoffLimit is the longest pause after a failed call to the store.
+	BackoffLimit time.Duration
+}
+
+// DefaultTreeWidth suits readers that answer a few calls a second.
+const DefaultTreeWidth = 8
+
+// Core is the state of one balancer's replication. It belongs to one
+// goroutine.
+type Core struct {
+	config Config
+	chance *rand.Rand
+	// order is this zone's balancers, the reader first; others follow with
+	// those of the other zones.
+	order  []*apiv1.Balancer
+	others []*apiv1.Balancer
+	// confirmedAt is when the store last confirmed what is known; the zero time
+	// is never.
+	confirmedAt time.Time
+	nextPoll    time.Time
+	failures    int
+	paused      map[string]time.Time
+	// asked is set for addresses that were asked for everything they hold.
+	asked map[string]bool
+}
+
+// NewCore makes the state of a balancer that knows nothing.
+func NewCore(config Config, chance *rand.Rand) *Core {
+	return &Core{
+		config: config,
+		chance: chance,
+		paused: make(map[string]time.Time),
+		asked:  make(map[string]bool),
+	}
+}
+
+// SetBalancers takes the balancers that have an entry in the directory.
+func (core *Core) SetBalancers(known []*apiv1.Balancer) {
+	core.order, core.others = nil, nil
+	self := &apiv1.Balancer{Name: core.config.Name, Zone: core.config.Zone, PeerAddress: core.config.Address}
+	core.order = append(core.order, self)
+	for _, balancer := range known {
+		switch {
+		case balancer.GetName() == core.config.Name:
+		case balancer.GetZone() == core.config.Zone:
+			core.order = append(core.order, balancer)
+		default:
+			core.others = append(core.others, balancer)
+		}
+	}
+	byRank(core.order)
+	byRank(core.others)
+}
+
+func byRank(balancers []*apiv1.Balancer) {
+	sort.Slice(balancers, func(i, j int) bool {
+		left, right := rank(balancers[i].GetName()), rank(balancers[j].GetName())
+		return left < right || left == right && balancers[i].GetName() < balancers[j].GetName()
+	})
+}
+
+func rank(name string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(name))
+	return hash.Sum64()
+}
+
+// position is this balancer's place in its zone's order.
+func (core *Core) position() int {
+	for index, balancer := range core.order {
+		if balancer.GetName() == core.config.Name {
+			return index
+		}
+	}
+	return 0
+}
+
+// Reader tells whether this balancer reads the store for its zone.
+func (core *Core) Reader() bool { return core.position() == 0 }
+
+// Age is the time since the store confirmed what is known.
+func (core *Core) Age(now time.Time) (time.Duration, bool) {
+	if core.confirmedAt.IsZero() {
+		return 0, false
+	}
+	return now.Sub(core.confirmedAt), true
+}
+
+// Stale tells whether the knowledge is too old to rely on others for it.
+func (core *Core) Stale(now time.Time) bool {
+	age, known := core.Age(now)
+	return !known || age > core.config.StaleAfter
+}
+
+// Confirm takes that the store has confirmed everything as of a time. It tells
+// whether that is later than what was known.
+func (core *Core) Confirm(asOf time.Time) bool {
+	if !asOf.After(core.confirmedAt) {
+		return false
+	}
+	core.confirmedAt = asOf
+	return true
+}
+
+// ShouldPoll tells whether to read the store now.
+func (core *Core) ShouldPoll(now time.Time) bool {
+	return !now.Before(core.nextPoll) && (core.Reader() || core.Stale(now))
+}
+
+// PollStarted spaces the next call from the start of this one.
+func (core *Core) PollStarted(now time.Time) { core.nextPoll = now.Add(core.config.PollInterval) }
+
+// PollSucceeded ends a back-off.
+func (core *Core) PollSucceeded() { core.failures = 0 }
+
+// firstBackoff is the pause after one failed call; it doubles with each.
+const firstBackoff = 100 * time.Millisecond
+
+// PollFailed spaces the next call to the store after a failure: twice as long
+// each time, half of it by chance, so that balancers do not call together.
+func (core *Core) PollFailed(now time.Time) {
+	pause := firstBackoff << min(core.failures, 10)
+	pause = min(pause, core.config.BackoffLimit)
+	core.failures++
+	half := pause / 2
+	core.nextPoll = now.Add(half + time.Duration(core.chance.Int64N(int64(half)+1)))
+}
+
+// Peer is a balancer to follow next.
+type Peer struct {
+	Address string
+	// Everything is set when the peer has not been asked yet: it is then asked
+	// for all it holds, tombstones too, which the store does not have.
+	Everything bool
+}
+
+// NextPeer returns the balancer to follow now. The reader follows one only
+// until it has been told everything once, and while its own knowledge is stale.
+func (core *Core) NextPeer(now time.Time) (Peer, bool) {
+	if core.Reader() && len(core.asked) > 0 && !core.Stale(now) {
+		return Peer{}, false
+	}
+	for _, address := range core.candidates() {
+		if address == core.config.Address || now.Before(core.paused[address]) {
+			continue
+		}
+		return Peer{Address: address, Everything: !core.asked[address]}, true
+	}
+	return Peer{}, false
+}
+
+// candidates are the addresses to follow, the best first: the parent, its
+// parents, the rest of the zone, other zones, and the seeds.
+func (core *Core) candidates() []string {
+	var addresses []string
+	place := core.position()
+	for place > 0 {
+		place = (place - 1) / core.config.TreeWidth
+		addresses = append(addresses, core.order[place].GetPeerAddress())
+	}
+	for _, balancer := range core.order {
+		addresses = append(addresses, balancer.GetPeerAddress())
+	}
+	for _, balancer := range core.others {
+		addresses = append(addresses, balancer.GetPeerAddress())
+	}
+	return append(addresses, core.config.Seeds...)
+}
+
+// PeerAnswered takes a peer's answer: its knowledge was confirmed as of a time.
+// A peer that is itself stale is passed over for a while.
+func (core *Core) PeerAnswered(peer Peer, asOf, now time.Time) {
+	core.asked[peer.Address] = true
+	if now.Sub(asOf) > core.config.StaleAfter {
+		core.paused[peer.Address] = now.Add(core.config.PeerPause)
+	}
+}
+
+// PeerFailed passes a peer over for a while.
+func (core *Core) PeerFailed(peer Peer, now time.Time) {
+	core.paused[peer.Address] = now.Add(core.config.PeerPause)
+}
--- a/internal/rule/rule.go
+++ b/internal/rule/rule.go
@@ -28,7 +28,10 @@
 	Backend uint32
 	// Weight is the relative share, 0 to MaximumWeight; 0 is never chosen.
 	Weight uint32
-	seed   uint64
+	// Identity orders flows over the candidates in place of Backend where
+	// Backend is only an index; 0 takes Backend.
+	Identity uint64
+	seed     uint64
 }
 
 // Rule chooses among the back ends of one service. It is immutable.
@@ -45,7 +48,11 @@
 	kept := make([]Candidate, 0, len(candidates))
 	for _, candidate := range candidates {
 		candidate.Weight = min(candidate.Weight, MaximumWeight)
-		candidate.seed = mix(salt + uint64(candidate.Backend)*0x9e3779b97f4a7c15)
+		identity := candidate.Identity
+		if identity == 0 {
+			identity = uint64(candidate.Backend)
+		}
+		candidate.seed = mix(salt + identity*0x9e3779b97f4a7c15)
 		kept = append(kept, candidate)
 	}
 	sort.Slice(kept, func(i, j int) bool { return kept[i].Backend < kept[j].Backend })
@@ -81,11 +88,17 @@
 // Pick returns the back end for a flow hash, or NoBackend when every weight is
 // 0. It does not allocate.
 func (rule *Rule) Pick(hash uint64) uint32 {
+	return rule.PickExcept(hash, nil)
+}
+
+// PickExcept is Pick among the back ends for which except is false; a nil
+// except excludes none.
+func (rule *Rule) PickExcept(hash uint64, except func(backend uint32) bool) uint32 {
 	best := uint32(NoBackend)
 	var bestScore, bestWeight uint64
 	for index := range rule.candidates {
 		candidate := &rule.candidates[index]
-		if candidate.Weight == 0 {
+		if candidate.Weight == 0 || except != nil && except(candidate.Backend) {
 			continue
 		}
 		score := negativeLogarithm(mix(hash ^ candidate.seed))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.yaml.in/yaml/v3"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
@@ -70,12 +71,26 @@
 // field names and values from flags. The settings are checked as a whole.
 func Load(path string, overrides map[string]string) (*apiv1.NodeSettings, error) {
 	loaded := Defaults()
+	lines, faults, err := read(path, overrides, loaded)
+	if err != nil {
+		return nil, err
+	}
+	faults = append(faults, check(loaded, lines)...)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return loaded, nil
+}
+
+// read sets the fields of a settings message from a file and from overrides.
+// It returns the line on which each field stands, and what is wrong.
+func read(path string, overrides map[string]string, loaded proto.Message) (map[string]int, Faults, error) {
 	lines := make(map[string]int)
 	var faults Faults
 	if path != "" {
 		content, err := os.ReadFile(path)
 		if err != nil {
-			return nil, errors.Wrap(err, "settings")
+			return nil, nil, errors.Wrap(err, "settings")
 		}
 		faults = append(faults, readFile(content, loaded, lines)...)
 	}
@@ -83,14 +98,10 @@
 		delete(lines, name)
 		faults = append(faults, setField(loaded, name, value, 0)...)
 	}
-	faults = append(faults, check(loaded, lines)...)
-	if len(faults) > 0 {
-		return nil, faults
-	}
-	return loaded, nil
+	return lines, faults, nil
 }
 
-func readFile(content []byte, loaded *apiv1.NodeSettings, lines map[string]int) Faults {
+func readFile(content []byte, loaded proto.Message, lines map[string]int) Faults {
 	var document yaml.Node
 	if err := yaml.Unmarshal(content, &document); err != nil {
 		return Faults{{Line: 1, Field: "file", Message: err.Error(), Remedy: "write it as YAML, one \"field: value\" a line"}}
@@ -116,7 +127,7 @@
 	return faults
 }
 
-func setNode(loaded *apiv1.NodeSettings, name string, value *yaml.Node) Faults {
+func setNode(loaded proto.Message, name string, value *yaml.Node) Faults {
 	field := fieldOf(loaded, name)
 	if field != nil && field.IsList() && value.Kind == yaml.SequenceNode {
 		items := make([]string, 0, len(value.Content))
@@ -131,12 +142,12 @@
 	return setField(loaded, name, value.Value, value.Line)
 }
 
-func fieldOf(loaded *apiv1.NodeSettings, name string) protoreflect.FieldDescriptor {
+func fieldOf(loaded proto.Message, name string) protoreflect.FieldDescriptor {
 	return loaded.ProtoReflect().Descriptor().Fields().ByName(protoreflect.Name(name))
 }
 
 // setField sets one field from its text.
-func setField(loaded *apiv1.NodeSettings, name, value string, line int) Faults {
+func setField(loaded proto.Message, name, value string, line int) Faults {
 	field := fieldOf(loaded, name)
 	if field == nil {
 		return Faults{{Line: line, Field: name, Value: value, Message: "there is no such field",
@@ -171,7 +182,7 @@
 	return nil
 }
 
-func nearestField(loaded *apiv1.NodeSettings, name string) string {
+func nearestField(loaded proto.Message, name string) string {
 	fields := loaded.ProtoReflect().Descriptor().Fields()
 	best, bestDistance := "", 1<<30
 	for index := range fields.Len() {
--- /dev/null
+++ b/internal/tokenroute/decide.go
@@ -0,0 +1,100 @@
+package tokenroute
+
+import (
+	"time"
+
+	"github.com/indigobarrow/indigobarrow/internal/flow"
+)
+
+// Packet is what a decision needs to know of a packet.
+type Packet struct {
+	Key flow.Key
+	// First is set on the packet that opens a flow.
+	First bool
+	Token Token
+}
+
+// Verdict is what happens to a packet.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Forward: the packet goes to the back end.
+	Forward Verdict = iota
+	// Refuse: the client is told at once that the flow can't be opened.
+	Refuse
+	// Drop: the packet is dropped without a word; its sender repeats it.
+	Drop
+)
+
+// Reason is why a verdict was given.
+type Reason uint8
+
+// The reasons.
+const (
+	ReasonToken Reason = iota
+	ReasonKept
+	ReasonNewFlow
+	ReasonNoTable
+	ReasonNoRoute
+	ReasonNoBackend
+	ReasonUnknownToken
+	ReasonForeignToken
+	reasonCount
+)
+
+var reasonNames = [reasonCount]string{
+	"token", "kept", "new_flow", "no_table", "no_route", "no_backend", "unknown_token", "foreign_token",
+}
+
+// String names the reason as logs and metrics do.
+func (reason Reason) String() string { return reasonNames[reason] }
+
+// ReasonCount is the number of reasons, for counters.
+const ReasonCount = int(reasonCount)
+
+// Decision is the verdict on one packet.
+type Decision struct {
+	Verdict Verdict
+	Reason  Reason
+	Backend *Backend
+}
+
+// Decide decides one packet by a table, which may be nil while nothing is
+// known. Only a flow that is not open is ever refused: what one balancer does
+// not know of an open flow, another one may.
+func (flows *Flows) Decide(table *Table, packet Packet, now time.Time) Decision {
+	if table == nil {
+		return Decision{Verdict: Drop, Reason: ReasonNoTable}
+	}
+	route := table.Route(packet.Key.Address())
+	if packet.First {
+		return flows.decideFirst(route, packet, now)
+	}
+	if route == nil {
+		return Decision{Verdict: Drop, Reason: ReasonNoRoute}
+	}
+	named := table.Resolve(route, packet.Token)
+	if named == nil && table.Known(packet.Token) {
+		return Decision{Verdict: Drop, Reason: ReasonForeignToken}
+	}
+	if named == nil {
+		return Decision{Verdict: Drop, Reason: ReasonUnknownToken}
+	}
+	chosen := flows.Next(packet.Key, named, now)
+	if chosen != named {
+		return Decision{Verdict: Forward, Reason: ReasonKept, Backend: chosen}
+	}
+	return Decision{Verdict: Forward, Reason: ReasonToken, Backend: named}
+}
+
+func (flows *Flows) decideFirst(route *Route, packet Packet, now time.Time) Decision {
+	if route == nil {
+		return Decision{Verdict: Refuse, Reason: ReasonNoRoute}
+	}
+	chosen := flows.First(route, packet.Key, now)
+	if chosen == nil {
+		return Decision{Verdict: Refuse, Reason: ReasonNoBackend}
+	}
+	return Decision{Verdict: Forward, Reason: ReasonNewFlow, Backend: chosen}
+}
--- /dev/null
+++ b/internal/tokenroute/table.go
@@ -0,0 +1,278 @@
+package tokenroute
+
+import (
+	"hash/fnv"
+	"net/netip"
+	"sort"
+	"time"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/directory"
+	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/rule"
+)
+
+// Token names a back end in the packets of a flow; NoToken names none.
+type Token uint32
+
+// NoToken is what the first packet of a flow carries.
+const NoToken Token = 0
+
+// TokenOf returns the token of a back end's number. It is never NoToken.
+func TokenOf(number uint64) Token {
+	if token := Token(number); token != NoToken {
+		return token
+	}
+	return ^NoToken
+}
+
+// Backend is a back end as packets are forwarded to it. It is immutable.
+type Backend struct {
+	ID     string
+	Number uint64
+	Token  Token
+	Pool   string
+	Zone   string
+	Target netip.AddrPort
+}
+
+// Weigher gives the relative share of new flows that a back end of a pool
+// takes, from 0 to rule.MaximumWeight.
+type Weigher func(backend directory.BackendEntry) uint32
+
+// Table is an index over a directory at one revision. It is immutable.
+type Table struct {
+	Version  uint64
+	Revision uint64
+	routes   map[flow.Address]*Route
+	tokens   map[Token][]*Backend
+}
+
+// Route is the way of one address.
+type Route struct {
+	Name string
+	// shares chooses the pool of a new flow; its candidates are indexes into
+	// pools plus one.
+	shares *rule.Rule
+	pools  []*pool
+	// admitted are the pools whose open flows the route carries; admitAll takes
+	// those of any pool.
+	admitted map[string]bool
+	admitAll bool
+}
+
+// pool is the back ends of one pool that may take new flows.
+type pool struct {
+	name     string
+	rule     *rule.Rule
+	backends []*Backend
+}
+
+// Options are what a table depends on besides the directory.
+type Options struct {
+	Weigh Weigher
+	// Former are the pools that a route had before, by the route's address;
+	// their open flows stay where they are.
+	Former map[flow.Address]map[string]bool
+	// AdmitAll admits the open flows of any pool on any route. A balancer does
+	// so while it is younger than a flow may be, since it can't know what
+	// routes had before it started.
+	AdmitAll bool
+	// LapseGrace is for how long a back end whose entry vanished without a
+	// notice may take new flows when most of its pool vanished.
+	LapseGrace time.Duration
+	Now        time.Time
+}
+
+// NewTable indexes a directory. It returns nil while no routes are known.
+func NewTable(known *directory.Directory, options Options) *Table {
+	routes := known.Routes()
+	if routes == nil {
+		return nil
+	}
+	builder := newBuilder(known, options)
+	table := &Table{
+		Version:  routes.GetVersion(),
+		Revision: known.Revision(),
+		routes:   make(map[flow.Address]*Route, len(routes.GetRoutes())),
+		tokens:   builder.tokens,
+	}
+	for _, route := range routes.GetRoutes() {
+		address := AddressOf(route)
+		table.routes[address] = builder.route(route, options.Former[address])
+	}
+	return table
+}
+
+// AddressOf returns the address that a route serves.
+func AddressOf(route *apiv1.ServiceRoute) flow.Address {
+	return flow.Address{
+		IP:       ipOf(route.GetAddress()),
+		Port:     uint16(route.GetPort()),
+		Protocol: flow.ProtocolTCP,
+	}
+}
+
+func ipOf(address uint32) [4]byte {
+	return [4]byte{byte(address >> 24), byte(address >> 16), byte(address >> 8), byte(address)}
+}
+
+// Route returns the route of an address, or nil.
+func (table *Table) Route(address flow.Address) *Route { return table.routes[address] }
+
+// Routes is the number of routes.
+func (table *Table) Routes() int { return len(table.routes) }
+
+// Resolve returns the back end that a token names on a route, or nil.
+func (table *Table) Resolve(route *Route, token Token) *Backend {
+	sharing := table.tokens[token]
+	for _, backend := range sharing {
+		if route.admitted[backend.Pool] {
+			return backend
+		}
+	}
+	if route.admitAll && len(sharing) == 1 {
+		return sharing[0]
+	}
+	return nil
+}
+
+// Known tells whether a token names a back end of any pool.
+func (table *Table) Known(token Token) bool { return len(table.tokens[token]) > 0 }
+
+// Choose returns the back end for a new flow, or nil when the route has none.
+// Back ends for which avoid answers true are taken only when there is no other.
+func (route *Route) Choose(hash uint64, avoid func(*Backend) bool) *Backend {
+	index := route.shares.Pick(hash)
+	if index == rule.NoBackend {
+		return nil
+	}
+	chosen := route.pools[index-1]
+	picked := chosen.rule.PickExcept(hash, func(candidate uint32) bool {
+		return avoid(chosen.backends[candidate-1])
+	})
+	if picked == rule.NoBackend {
+		picked = chosen.rule.Pick(hash)
+	}
+	if picked == rule.NoBackend {
+		return nil
+	}
+	return chosen.backends[picked-1]
+}
+
+// builder collects what the routes of a table share.
+type builder struct {
+	options Options
+	tokens  map[Token][]*Backend
+	entries map[string][]directory.BackendEntry
+	made    map[string]*Backend
+	pools   map[string]*pool
+}
+
+func newBuilder(known *directory.Directory, options Options) *builder {
+	builder := &builder{
+		options: options,
+		tokens:  make(map[Token][]*Backend),
+		entries: make(map[string][]directory.BackendEntry),
+		made:    make(map[string]*Backend),
+		pools:   make(map[string]*pool),
+	}
+	// Backends come in the order of their ids, so the first of a token's back
+	// ends is its holder.
+	for _, entry := range known.Backends() {
+		backend := newBackend(entry.PoolBackend)
+		builder.made[backend.ID] = backend
+		builder.tokens[backend.Token] = append(builder.tokens[backend.Token], backend)
+		builder.entries[backend.Pool] = append(builder.entries[backend.Pool], entry)
+	}
+	return builder
+}
+
+func newBackend(entry *apiv1.PoolBackend) *Backend {
+	return &Backend{
+		ID:     entry.GetId(),
+		Number: entry.GetNumber(),
+		Token:  TokenOf(entry.GetNumber()),
+		Pool:   entry.GetPool(),
+		Zone:   entry.GetZone(),
+		Target: netip.AddrPortFrom(netip.AddrFrom4(ipOf(entry.GetAddress())), uint16(entry.GetPort())),
+	}
+}
+
+func (builder *builder) route(configured *apiv1.ServiceRoute, former map[string]bool) *Route {
+	made := &Route{Name: configured.GetName(), admitted: make(map[string]bool), admitAll: builder.options.AdmitAll}
+	for name := range former {
+		made.admitted[name] = true
+	}
+	var candidates []rule.Candidate
+	for _, share := range configured.GetPools() {
+		made.admitted[share.GetPool()] = true
+		made.pools = append(made.pools, builder.pool(share.GetPool()))
+		candidates = append(candidates, rule.Candidate{
+			Backend: uint32(len(made.pools)),
+			Weight:  share.GetWeight(),
+		})
+	}
+	made.shares = rule.New(made.Name, AddressOf(configured), salt(made.Name), candidates)
+	return made
+}
+
+func (builder *builder) pool(name string) *pool {
+	if made := builder.pools[name]; made != nil {
+		return made
+	}
+	made := &pool{name: name}
+	var candidates []rule.Candidate
+	for _, entry := range builder.eligible(name) {
+		made.backends = append(made.backends, builder.made[entry.GetId()])
+		candidates = append(candidates, rule.Candidate{
+			Backend:  uint32(len(made.backends)),
+			Weight:   builder.options.Weigh(entry),
+			Identity: entry.GetNumber(),
+		})
+	}
+	made.rule = rule.New(name, flow.Address{}, salt(name), candidates)
+	builder.pools[name] = made
+	return made
+}
+
+// eligible returns the back ends of a pool that may take new flows. When most
+// of a pool vanishes at once without a notice, the likelier cause is that the
+// store dropped the entries, not that the back ends ended; those may then be
+// used a little longer.
+func (builder *builder) eligible(pool string) []directory.BackendEntry {
+	var ready, vanished []directory.BackendEntry
+	for _, entry := range builder.entries[pool] {
+		switch {
+		case entry.GetDraining() || !builder.holdsToken(entry):
+		case !entry.Gone:
+			ready = append(ready, entry)
+		case builder.options.Now.Sub(entry.GoneAt) < builder.options.LapseGrace:
+			vanished = append(vanished, entry)
+		}
+	}
+	if len(vanished) > len(ready) {
+		ready = append(ready, vanished...)
+		sort.Slice(ready, func(i, j int) bool { return ready[i].GetId() < ready[j].GetId() })
+	}
+	return ready
+}
+
+// holdsToken tells whether the back end is the first of its pool to have its
+// token.
+func (builder *builder) holdsToken(entry directory.BackendEntry) bool {
+	for _, backend := range builder.tokens[TokenOf(entry.GetNumber())] {
+		if backend.Pool == entry.GetPool() {
+			return backend.ID == entry.GetId()
+		}
+	}
+	return false
+}
+
+// salt separates the orders of routes and pools, so that one flow hash does
+// not order them alike.
+func salt(name string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(name))
+	return hash.Sum64()
+}
