Take SIGHUP, and a changed settings file, as a reload

Ruled out: crashes, none in the logs. A changed file is checked whole; fields that need a restart are refused with a line.

--- a/cmd/balancer/main.go
+++ b/cmd/balancer/main.go
@@ -12,6 +12,7 @@
 	"syscall"
 
 	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/balancer"
@@ -34,19 +35,22 @@
 		Usage: "run a balancer that binds flows by tokens",
 		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Sources: cli.EnvVars("INDIGOBARROW_CONFIG")}},
 		Action: func(ctx context.Context, command *cli.Command) error {
-			loaded, err := settings.LoadBalancer(command.String("settings"), nil)
-			if err != nil {
-				return err
-			}
-			return run(ctx, loaded)
+			return run(ctx, command.String("settings"))
 		},
 	}
 }
 
 // run serves until SIGTERM, which is a planned stop: the balancer says that it
 // is not ready, forwards until the routers have turned away, and ends.
-func run(ctx context.Context, loaded *apiv1.BalancerSettings) error {
-	logger := newLogger(loaded)
+func run(ctx context.Context, path string) error {
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	load := func() (*apiv1.BalancerSettings, error) { return settings.LoadBalancer(path, nil) }
+	loaded, err := load()
+	if err != nil {
+		return err
+	}
+	logger, level := newLogger(loaded)
 	made, err := balancer.New(loaded, outside(loaded, logger), logger)
 	if err != nil {
 		return err
@@ -58,7 +62,12 @@
 		made.Stop(running)
 		cancel()
 	}()
-	return made.Run(running)
+	group, running := errgroup.WithContext(running)
+	group.Go(func() error { return made.Run(running) })
+	group.Go(func() error {
+		return made.Reload(running, balancer.Reloader{Path: path, Load: load, Level: level, Signals: changed})
+	})
+	return group.Wait()
 }
 
 func outside(loaded *apiv1.BalancerSettings, logger *slog.Logger) balancer.Outside {
@@ -71,12 +80,12 @@
 	}
 }
 
-func newLogger(loaded *apiv1.BalancerSettings) *slog.Logger {
+func newLogger(loaded *apiv1.BalancerSettings) (*slog.Logger, *slog.LevelVar) {
 	level := new(slog.LevelVar)
 	_ = level.UnmarshalText([]byte(loaded.GetLogLevel()))
 	options := &slog.HandlerOptions{Level: level}
 	if loaded.GetLogFormat() == "json" {
-		return slog.New(slog.NewJSONHandler(os.Stdout, options))
+		return slog.New(slog.NewJSONHandler(os.Stdout, options)), level
 	}
-	return slog.New(slog.NewTextHandler(os.Stdout, options))
+	return slog.New(slog.NewTextHandler(os.Stdout, options)), level
 }
--- a/internal/balancer/announce.go
+++ b/internal/balancer/announce.go
@@ -58,9 +58,9 @@
 		return 0, err
 	}
 	entry := &apiv1.Balancer{
-		Name:        balancer.settings.GetName(),
-		Zone:        balancer.settings.GetZone(),
-		PeerAddress: balancer.settings.GetPeerAddress(),
+		Name:        balancer.settings.Load().GetName(),
+		Zone:        balancer.settings.Load().GetZone(),
+		PeerAddress: balancer.settings.Load().GetPeerAddress(),
 	}
 	if err := balancer.outside.Store.Announce(ctx, entry, lease); err != nil {
 		return 0, err
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -53,7 +53,7 @@
 
 // Balancer is one running balancer.
 type Balancer struct {
-	settings *apiv1.BalancerSettings
+	settings atomic.Pointer[apiv1.BalancerSettings]
 	outside  Outside
 	logger   *slog.Logger
 	started  time.Time
@@ -69,12 +69,12 @@
 // New opens the sockets of a balancer.
 func New(settings *apiv1.BalancerSettings, outside Outside, logger *slog.Logger) (*Balancer, error) {
 	made := &Balancer{
-		settings: settings,
-		outside:  outside,
-		logger:   logger,
-		started:  time.Now(),
-		bus:      events.NewBus(),
+		outside: outside,
+		logger:  logger,
+		started: time.Now(),
+		bus:     events.NewBus(),
 	}
+	made.settings.Store(settings)
 	if err := made.listen(); err != nil {
 		return nil, err
 	}
@@ -83,7 +83,7 @@
 }
 
 func (balancer *Balancer) listen() error {
-	address, err := netip.ParseAddrPort(balancer.settings.GetDataAddress())
+	address, err := netip.ParseAddrPort(balancer.settings.Load().GetDataAddress())
 	if err != nil {
 		return errors.Wrap(err, "data address")
 	}
@@ -92,12 +92,12 @@
 		return errors.Wrapf(err, "traffic: listen on %s", address)
 	}
 	balancer.traffic = newTraffic(balancer, socket)
-	balancer.peers, err = net.Listen("tcp4", balancer.settings.GetPeerAddress())
+	balancer.peers, err = net.Listen("tcp4", balancer.settings.Load().GetPeerAddress())
 	if err != nil {
-		return errors.Wrapf(err, "peers: listen on %s", balancer.settings.GetPeerAddress())
+		return errors.Wrapf(err, "peers: listen on %s", balancer.settings.Load().GetPeerAddress())
 	}
-	balancer.probes, err = net.Listen("tcp4", balancer.settings.GetReadinessAddress())
-	return errors.Wrapf(err, "readiness: listen on %s", balancer.settings.GetReadinessAddress())
+	balancer.probes, err = net.Listen("tcp4", balancer.settings.Load().GetReadinessAddress())
+	return errors.Wrapf(err, "readiness: listen on %s", balancer.settings.Load().GetReadinessAddress())
 }
 
 // Ready tells whether the balancer takes new flows.
@@ -140,7 +140,7 @@
 	balancer.logger.Info("Stopping as planned.")
 	balancer.stopping.Store(true)
 	began := time.Now()
-	limit := time.Duration(balancer.settings.GetStopMilliseconds()) * time.Millisecond
+	limit := time.Duration(balancer.settings.Load().GetStopMilliseconds()) * time.Millisecond
 	ticker := time.NewTicker(stopQuiet / 4)
 	defer ticker.Stop()
 	for time.Since(began) < limit {
--- a/internal/balancer/calls.go
+++ b/internal/balancer/calls.go
@@ -36,7 +36,7 @@
 func (control *control) follow(ctx context.Context, peer replication.Peer, after uint64) {
 	sent := time.Now()
 	request := &apiv1.FollowRequest{
-		From:             control.balancer.settings.GetName(),
+		From:             control.balancer.settings.Load().GetName(),
 		After:            after,
 		WaitMilliseconds: uint32(followWait.Milliseconds()),
 	}
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -48,7 +48,7 @@
 }
 
 func newControl(balancer *Balancer, chance *rand.Rand) *control {
-	settings := balancer.settings
+	settings := balancer.settings.Load()
 	retention := time.Duration(settings.GetFlowMilliseconds()) * time.Millisecond
 	made := &control{
 		balancer: balancer,
@@ -106,6 +106,7 @@
 		go control.poll(ctx, now)
 	}
 	if !control.following {
+		control.core.SetSeeds(control.balancer.settings.Load().GetSeeds())
 		if peer, found := control.core.NextPeer(now); found {
 			control.following = true
 			go control.follow(ctx, peer, control.known.Revision())
@@ -183,7 +184,7 @@
 }
 
 func (control *control) flowLife() time.Duration {
-	return time.Duration(control.balancer.settings.GetFlowMilliseconds()) * time.Millisecond
+	return time.Duration(control.balancer.settings.Load().GetFlowMilliseconds()) * time.Millisecond
 }
 
 // scheduleTurn sets when the table changes without news: vanished back ends
--- /dev/null
+++ b/internal/balancer/reload.go
@@ -0,0 +1,98 @@
+package balancer
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+)
+
+// lookInterval is how often the settings file is looked at. It may change
+// without a signal.
+const lookInterval = 2 * time.Second
+
+// Reloader takes changed settings while the balancer runs: all of a file's
+// changes, or none of them.
+type Reloader struct {
+	// Path is the settings file; empty when there is none.
+	Path string
+	// Load reads and checks the file.
+	Load func() (*apiv1.BalancerSettings, error)
+	// Level is the level of the log, which a change may set.
+	Level *slog.LevelVar
+	// Signals tells that the file has changed.
+	Signals <-chan os.Signal
+}
+
+// changeable are the settings that a running balancer takes; the others need a
+// restart.
+var changeable = map[protoreflect.Name]bool{"log_level": true, "seeds": true}
+
+// Reload watches the settings file until the context ends.
+func (balancer *Balancer) Reload(ctx context.Context, reloader Reloader) error {
+	ticker := time.NewTicker(lookInterval)
+	defer ticker.Stop()
+	modified := modifiedAt(reloader.Path)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-reloader.Signals:
+		case <-ticker.C:
+			if modifiedAt(reloader.Path).Equal(modified) {
+				continue
+			}
+		}
+		modified = modifiedAt(reloader.Path)
+		balancer.reload(reloader)
+	}
+}
+
+func modifiedAt(path string) time.Time {
+	information, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return information.ModTime()
+}
+
+// reload reads the file once. A faulty file, or one that changes what only a
+// restart can, leaves everything as it is.
+func (balancer *Balancer) reload(reloader Reloader) {
+	loaded, err := reloader.Load()
+	if err != nil {
+		balancer.logger.Error("Settings: refused, the old ones stay.", "error", err)
+		return
+	}
+	current := balancer.settings.Load()
+	if field := needsRestart(current, loaded); field != "" {
+		balancer.logger.Error("Settings: refused, the old ones stay.", "field", field,
+			"remedy", "restart the balancer to change this field")
+		return
+	}
+	if proto.Equal(current, loaded) {
+		balancer.logger.Info("Settings: unchanged.")
+		return
+	}
+	balancer.settings.Store(loaded)
+	_ = reloader.Level.UnmarshalText([]byte(loaded.GetLogLevel()))
+	balancer.logger.Info("Settings: in force.")
+}
+
+// needsRestart names a changed field that only a restart can change, or none.
+func needsRestart(current, loaded *apiv1.BalancerSettings) protoreflect.Name {
+	before, after := current.ProtoReflect(), loaded.ProtoReflect()
+	fields := before.Descriptor().Fields()
+	for index := range fields.Len() {
+		field := fields.Get(index)
+		if !changeable[field.Name()] && !before.Get(field).Equal(after.Get(field)) {
+			return field.Name()
+		}
+	}
+	return ""
+}
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -59,6 +59,9 @@
 	}
 }
 
+// SetSeeds replaces the addresses to ask while no balancer is known.
+func (core *Core) SetSeeds(seeds []string) { core.config.Seeds = seeds }
+
 // SetBalancers takes the balancers that have an entry in the directory.
 func (core *Core) SetBalancers(known []*apiv1.Balancer) {
 	core.order, core.others = nil, nil
