Follow large stores by their changes; stand-ins of the platform and an end-to-end test

Cause of the broken CONFIG at 300 machines: every reader read all pages of the store each second (3,000 back ends are seven pages), which takes longer than its time limit on a fifth of a core. A store of more than one page is now followed by its changes, with the table of routes read besides each second and a whole read as an audit. Stores of one page are read as before.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -33,8 +33,14 @@
 
 // Store is the store that holds what operators and back ends have written.
 type Store interface {
-	// Snapshot reads every entry.
-	Snapshot(ctx context.Context) (*apiv1.DirectoryBatch, error)
+	// Snapshot reads entries, at most the given number of pages. The batch is
+	// complete when that was all.
+	Snapshot(ctx context.Context, pageLimit int) (*apiv1.DirectoryBatch, error)
+	// Changes waits for the changes after a revision. It returns
+	// ErrHistoryLost when the store no longer has them.
+	Changes(ctx context.Context, after uint64, wait time.Duration) (*apiv1.DirectoryBatch, error)
+	// Routes reads the table of routes alone; the batch claims no revision.
+	Routes(ctx context.Context) (*apiv1.DirectoryBatch, error)
 	// Lease asks for a lease and returns its number.
 	Lease(ctx context.Context, length time.Duration) (uint64, error)
 	// Renew renews a lease.
@@ -43,6 +49,10 @@
 	Announce(ctx context.Context, balancer *apiv1.Balancer, lease uint64) error
 }
 
+// ErrHistoryLost is what Store.Changes returns when the store has forgotten the
+// changes that were asked for.
+var ErrHistoryLost = errors.New("the store no longer has these changes")
+
 // Outside is what a balancer needs of the world that it runs in.
 type Outside struct {
 	Codec Codec
--- a/internal/balancer/calls.go
+++ b/internal/balancer/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,19 +16,51 @@
 	// storeTimeout bounds a call to the store. A slow store answers within
 	// half of it.
 	storeTimeout = time.Second
+	// snapshotTimeout bounds the reading of all pages of a large store.
+	snapshotTimeout = 10 * time.Second
 	// followWait is how long a call to a peer waits for news.
 	followWait = time.Second
 )
 
-// poll reads the store once.
-func (control *control) poll(ctx context.Context, now time.Time) {
-	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	batch, err := control.balancer.outside.Store.Snapshot(bounded)
-	control.publish(ctx, &apiv1.DirectoryNews{
+// poll makes one call to the store, or two where the second one checks what
+// the first may have missed.
+func (control *control) poll(ctx context.Context, kind replication.Poll, after uint64, now time.Time) {
+	batch, err := control.read(ctx, kind, after)
+	news := &apiv1.DirectoryNews{
 		Batch:           batch,
 		AsOfNanoseconds: int64(now.Sub(control.balancer.started)),
-	}, err)
+		Poll:            uint32(kind),
+		HistoryLost:     errors.Is(err, ErrHistoryLost),
+	}
+	control.publish(ctx, news, err)
+}
+
+func (control *control) read(ctx context.Context, kind replication.Poll, after uint64) (*apiv1.DirectoryBatch, error) {
+	store := control.balancer.outside.Store
+	switch kind {
+	case replication.PollSnapshot:
+		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+		defer cancel()
+		return store.Snapshot(ctx, math.MaxInt)
+	case replication.PollChanges:
+		wait := time.Duration(control.balancer.settings.Load().GetPollMilliseconds()) * time.Millisecond
+		ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
+		defer cancel()
+		return store.Changes(ctx, after, wait)
+	case replication.PollNone, replication.PollPage:
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return store.Snapshot(ctx, 1)
+}
+
+// checkRoutes reads the table of routes alone. A large store is followed by its
+// changes, and the one change that must not be missed is checked besides.
+func (control *control) checkRoutes(ctx context.Context, now time.Time) {
+	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	batch, err := control.balancer.outside.Store.Routes(bounded)
+	control.publish(ctx, &apiv1.DirectoryNews{Batch: batch, Check: true}, err)
 }
 
 // follow asks a peer for news once. What the peer knew was confirmed no later
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -26,6 +26,13 @@
 	// storeBackoffLimit is the longest pause between calls to a store that
 	// fails.
 	storeBackoffLimit = time.Second
+	// startPatience is how long a start leaves a large store to others.
+	startPatience = 500 * time.Millisecond
+	// auditInterval is how often a large store is read whole.
+	auditInterval = 60 * time.Second
+	// buildShare bounds the building of tables to one part in so many of the
+	// time.
+	buildShare = 10
 	// followersLimit bounds the followers' calls that wait at once.
 	followersLimit = 256
 )
@@ -45,6 +52,9 @@
 	firstAt  time.Time
 	rebuild  bool
 	nextTurn time.Time
+	// nextBuild spaces the building of tables by what the last one took.
+	nextBuild time.Time
+	nextCheck time.Time
 }
 
 func newControl(balancer *Balancer, chance *rand.Rand) *control {
@@ -63,7 +73,10 @@
 			TreeWidth:    replication.DefaultTreeWidth,
 			PeerPause:    peerPause,
 			BackoffLimit: storeBackoffLimit,
-		}, chance),
+
+			StartPatience: startPatience,
+			AuditInterval: auditInterval,
+		}, chance, balancer.started),
 		client:    replication.NewClient(balancer.logger),
 		followers: make(chan *follower, followersLimit),
 		former:    make(map[flow.Address]map[string]time.Time),
@@ -100,11 +113,7 @@
 
 // tick starts the calls that are due, answers followers and renews the table.
 func (control *control) tick(ctx context.Context, now time.Time) {
-	if !control.polling && control.core.ShouldPoll(now) {
-		control.polling = true
-		control.core.PollStarted(now)
-		go control.poll(ctx, now)
-	}
+	control.startPoll(ctx, now)
 	if !control.following {
 		control.core.SetSeeds(control.balancer.settings.Load().GetSeeds())
 		if peer, found := control.core.NextPeer(now); found {
@@ -116,8 +125,28 @@
 	if control.known.Expire(now) {
 		control.rebuild = true
 	}
-	if control.rebuild || !control.nextTurn.IsZero() && now.After(control.nextTurn) {
+	due := control.rebuild || !control.nextTurn.IsZero() && now.After(control.nextTurn)
+	if due && !now.Before(control.nextBuild) {
 		control.renewTable(now)
+		took := time.Since(now)
+		control.nextBuild = now.Add(buildShare * took)
+	}
+}
+
+func (control *control) startPoll(ctx context.Context, now time.Time) {
+	if control.polling {
+		return
+	}
+	kind := control.core.NextPoll(now)
+	if kind == replication.PollNone {
+		return
+	}
+	control.polling = true
+	control.core.PollStarted(kind, now)
+	go control.poll(ctx, kind, control.known.Revision(), now)
+	if kind == replication.PollChanges && !now.Before(control.nextCheck) {
+		control.nextCheck = now.Add(time.Duration(control.balancer.settings.Load().GetPollMilliseconds()) * time.Millisecond)
+		go control.checkRoutes(ctx, now)
 	}
 }
 
@@ -134,20 +163,15 @@
 
 // learn takes the answer of the store or of a peer.
 func (control *control) learn(news *apiv1.DirectoryNews, now time.Time) {
-	peer := replication.Peer{Address: news.GetPeer(), Everything: news.GetEverything()}
 	asOf := control.balancer.started.Add(time.Duration(news.GetAsOfNanoseconds()))
-	fromStore := news.GetPeer() == ""
-	control.polling = control.polling && !fromStore
-	control.following = control.following && fromStore
 	switch {
-	case news.GetError() != "" && fromStore:
-		control.core.PollFailed(now)
-	case news.GetError() != "":
-		control.core.PeerFailed(peer, now)
-	case fromStore:
-		control.core.PollSucceeded()
+	case news.GetCheck():
+	case news.GetPeer() == "":
+		control.polling = false
+		control.pollEnded(news, now)
 	default:
-		control.core.PeerAnswered(peer, asOf, now)
+		control.following = false
+		control.followEnded(news, asOf, now)
 	}
 	if news.GetError() != "" {
 		control.balancer.logger.Debug("Control: call failed.", "peer", news.GetPeer(), "error", news.GetError())
@@ -157,7 +181,30 @@
 		control.rebuild = true
 		control.core.SetBalancers(control.known.Balancers())
 	}
-	control.core.Confirm(asOf)
+	incomplete := news.GetPoll() == uint32(replication.PollPage) && !news.GetBatch().GetComplete()
+	if !news.GetCheck() && !incomplete {
+		control.core.Confirm(asOf)
+	}
+}
+
+func (control *control) pollEnded(news *apiv1.DirectoryNews, now time.Time) {
+	switch {
+	case news.GetHistoryLost():
+		control.core.HistoryLost(now)
+	case news.GetError() != "":
+		control.core.PollFailed(now)
+	default:
+		control.core.PollSucceeded(replication.Poll(news.GetPoll()), news.GetBatch().GetComplete(), now)
+	}
+}
+
+func (control *control) followEnded(news *apiv1.DirectoryNews, asOf, now time.Time) {
+	peer := replication.Peer{Address: news.GetPeer(), Everything: news.GetEverything()}
+	if news.GetError() != "" {
+		control.core.PeerFailed(peer, now)
+		return
+	}
+	control.core.PeerAnswered(peer, asOf, now)
 }
 
 // renewTable builds the table that packets are decided by.
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -25,8 +26,31 @@
 	PeerPause time.Duration
 	// BackoffLimit is the longest pause after a failed call to the store.
 	BackoffLimit time.Duration
+	// StartPatience is how long a balancer that knows nothing leaves a large
+	// store to others and waits for peers.
+	StartPatience time.Duration
+	// AuditInterval is how often a large store is read whole all the same.
+	AuditInterval time.Duration
 }
 
+// Poll is a call to the store.
+type Poll uint8
+
+// The calls to the store.
+const (
+	PollNone Poll = iota
+	// PollPage reads the first page. A small store is read whole by it, which
+	// is cheaper and more certain than to wait for changes.
+	PollPage
+	// PollSnapshot reads all pages of a large store.
+	PollSnapshot
+	// PollChanges waits for the changes of a large store.
+	PollChanges
+)
+
+// changesPause lets changes gather between two calls that wait for them.
+const changesPause = 100 * time.Millisecond
+
 // DefaultTreeWidth suits readers that answer a few calls a second.
 const DefaultTreeWidth = 8
 
@@ -44,18 +68,27 @@
 	confirmedAt time.Time
 	nextPoll    time.Time
 	failures    int
-	paused      map[string]time.Time
+	// large is set when the store has more than one page.
+	large        bool
+	nextSnapshot time.Time
+	// patienceUntil is when a balancer that knows nothing stops to wait for
+	// peers.
+	patienceUntil time.Time
+	paused        map[string]time.Time
 	// asked is set for addresses that were asked for everything they hold.
 	asked map[string]bool
 }
 
 // NewCore makes the state of a balancer that knows nothing.
-func NewCore(config Config, chance *rand.Rand) *Core {
+func NewCore(config Config, chance *rand.Rand, now time.Time) *Core {
+	patience := config.StartPatience + time.Duration(chance.Int64N(int64(config.StartPatience)+1))
 	return &Core{
-		config: config,
-		chance: chance,
-		paused: make(map[string]time.Time),
-		asked:  make(map[string]bool),
+		config:        config,
+		chance:        chance,
+		patienceUntil: now.Add(patience),
+		nextSnapshot:  now.Add(config.AuditInterval),
+		paused:        make(map[string]time.Time),
+		asked:         make(map[string]bool),
 	}
 }
 
@@ -130,16 +163,60 @@
 	return true
 }
 
-// ShouldPoll tells whether to read the store now.
-func (core *Core) ShouldPoll(now time.Time) bool {
-	return !now.Before(core.nextPoll) && (core.Reader() || core.Stale(now))
+// NextPoll returns the call to make to the store now.
+func (core *Core) NextPoll(now time.Time) Poll {
+	if now.Before(core.nextPoll) || !core.Reader() && !core.Stale(now) {
+		return PollNone
+	}
+	switch {
+	case !core.large:
+		return PollPage
+	case core.confirmedAt.IsZero() && !core.elected() && now.Before(core.patienceUntil):
+		return PollNone
+	case core.confirmedAt.IsZero() || !now.Before(core.nextSnapshot):
+		return PollSnapshot
+	}
+	return PollChanges
+}
+
+// elected tells whether this balancer is known to be the reader, and does not
+// only believe so because it knows no other.
+func (core *Core) elected() bool {
+	if !core.Reader() {
+		return false
+	}
+	if len(core.order) > 1 || len(core.config.Seeds) == 0 {
+		return true
+	}
+	return slices.Contains(core.config.Seeds, core.config.Address)
 }
 
 // PollStarted spaces the next call from the start of this one.
-func (core *Core) PollStarted(now time.Time) { core.nextPoll = now.Add(core.config.PollInterval) }
+func (core *Core) PollStarted(poll Poll, now time.Time) {
+	core.nextPoll = now.Add(core.config.PollInterval)
+	switch poll {
+	case PollChanges:
+		core.nextPoll = now.Add(changesPause)
+	case PollSnapshot:
+		half := core.config.AuditInterval / 2
+		core.nextSnapshot = now.Add(half + time.Duration(core.chance.Int64N(int64(half)+1)))
+	case PollNone, PollPage:
+	}
+}
+
+// PollSucceeded ends a back-off. A first page that was not all makes the store
+// a large one, which is then looked at again at once.
+func (core *Core) PollSucceeded(poll Poll, complete bool, now time.Time) {
+	core.failures = 0
+	if poll == PollPage && core.large == complete {
+		core.large = !complete
+		core.nextPoll = now
+	}
+}
 
-// PollSucceeded ends a back-off.
-func (core *Core) PollSucceeded() { core.failures = 0 }
+// HistoryLost makes the next call a snapshot: the store no longer has the
+// changes after what is known.
+func (core *Core) HistoryLost(now time.Time) { core.nextSnapshot = now }
 
 // firstBackoff is the pause after one failed call; it doubles with each.
 const firstBackoff = 100 * time.Millisecond
--- /dev/null
+++ b/internal/standin/echonet/backend.go
@@ -0,0 +1,116 @@
+package echonet
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// flowName is the client's end of a flow, as a back end keeps it.
+type flowName struct {
+	source [4]byte
+	port   uint16
+}
+
+// Backend is one run of a back end. It answers each request with its own id
+// and the request.
+type Backend struct {
+	ID   string
+	Pool string
+	// clientPort is the port at which clients take packets.
+	clientPort uint16
+	number     uint64
+	key        uint64
+	socket     *net.UDPConn
+	mutex      sync.Mutex
+	flows      map[flowName]uint32
+	// opened counts first packets taken, foreign those for other back ends,
+	// unknown packets of flows that it does not hold, and forged ones whose
+	// sum was wrong.
+	opened, foreign, unknown, forged int
+}
+
+// StartBackend opens a back end at an address.
+func StartBackend(id, pool string, address netip.AddrPort, clientPort uint16, key uint64) (*Backend, error) {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, errors.Wrapf(err, "back end %s: listen on %s", id, address)
+	}
+	made := &Backend{ID: id, Pool: pool, clientPort: clientPort, key: key, socket: socket, flows: make(map[flowName]uint32)}
+	if _, err := fmt.Sscanf(id, "i-%x", &made.number); err != nil {
+		return nil, errors.Wrapf(err, "back end %s", id)
+	}
+	go made.run()
+	return made, nil
+}
+
+// Stop ends the back end; it forgets its flows.
+func (backend *Backend) Stop() { _ = backend.socket.Close() }
+
+// Counts returns the packets that the back end has seen by kind.
+func (backend *Backend) Counts() (opened, foreign, unknown, forged int) {
+	backend.mutex.Lock()
+	defer backend.mutex.Unlock()
+	return backend.opened, backend.foreign, backend.unknown, backend.forged
+}
+
+const (
+	datagramSize = 2048
+	numberSize   = 8
+)
+
+func (backend *Backend) run() {
+	buffer := make([]byte, datagramSize)
+	for {
+		size, _, err := backend.socket.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		if size > numberSize {
+			backend.take(buffer[:size])
+		}
+	}
+}
+
+func (backend *Backend) take(datagram []byte) {
+	backend.mutex.Lock()
+	defer backend.mutex.Unlock()
+	if intended := binary.BigEndian.Uint64(datagram); intended != 0 && intended != backend.number {
+		backend.foreign++
+		return
+	}
+	packet, err := Decode(datagram[numberSize:], backend.key)
+	if err != nil || !packet.Valid {
+		backend.forged++
+		return
+	}
+	name := flowName{source: packet.Source, port: packet.SourcePort}
+	seq, held := backend.flows[name]
+	switch {
+	case packet.Flags&FlagSYN != 0:
+		if !held {
+			backend.opened++
+			seq = rand.Uint32()
+			backend.flows[name] = seq
+		}
+		backend.send(packet.reply(FlagSYN|FlagACK, seq, packet.Seq+1, nil))
+	case !held:
+		backend.unknown++
+		backend.send(packet.reply(FlagRST, packet.Ack, 0, nil))
+	case packet.Flags&FlagFIN != 0:
+		delete(backend.flows, name)
+	case len(packet.Data) > 0:
+		body := append([]byte(backend.Pool+"/"+backend.ID+" "), packet.Data...)
+		backend.send(packet.reply(FlagACK, packet.Ack, packet.Seq+uint32(len(packet.Data)), body))
+	}
+}
+
+func (backend *Backend) send(packet Packet) {
+	client := netip.AddrPortFrom(netip.AddrFrom4(packet.Destination), backend.clientPort)
+	_, _ = backend.socket.WriteToUDPAddrPort(packet.Encode(backend.key), client)
+}
--- /dev/null
+++ b/internal/standin/echonet/client.go
@@ -0,0 +1,160 @@
+package echonet
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+var (
+	// ErrRefused: the flow was reset before it opened.
+	ErrRefused = errors.New("the flow was refused")
+	// ErrBroken: an open flow was reset.
+	ErrBroken = errors.New("the flow was broken")
+	// ErrDeadline: no answer came in time.
+	ErrDeadline = errors.New("no answer came in time")
+)
+
+// Client opens flows from one address.
+type Client struct {
+	address netip.AddrPort
+	key     uint64
+	router  *Router
+	socket  *net.UDPConn
+	mutex   sync.Mutex
+	flows   map[uint16]chan Packet
+	next    uint16
+}
+
+// StartClient opens a client at an address.
+func StartClient(address netip.AddrPort, router *Router, key uint64) (*Client, error) {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, errors.Wrapf(err, "client: listen on %s", address)
+	}
+	made := &Client{address: address, key: key, router: router, socket: socket, flows: make(map[uint16]chan Packet), next: 40000}
+	go made.run()
+	return made, nil
+}
+
+// Stop closes the client.
+func (client *Client) Stop() { _ = client.socket.Close() }
+
+func (client *Client) run() {
+	buffer := make([]byte, datagramSize)
+	for {
+		size, _, err := client.socket.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		packet, err := Decode(buffer[:size], client.key)
+		ownReset := err == nil && packet.Flags == FlagRST && packet.Sum == 0
+		if err != nil || !packet.Valid && !ownReset {
+			continue
+		}
+		client.mutex.Lock()
+		inbox := client.flows[packet.DestinationPort]
+		client.mutex.Unlock()
+		select {
+		case inbox <- packet:
+		default:
+		}
+	}
+}
+
+// Flow is one open flow.
+type Flow struct {
+	client *Client
+	inbox  chan Packet
+	last   Packet
+	seq    uint32
+	target netip.AddrPort
+	port   uint16
+}
+
+// The pauses before a packet is sent again.
+var (
+	openingPauses = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond}
+	dataPauses    = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond, 1600 * time.Millisecond}
+)
+
+// Open opens a flow to a route's address.
+func (client *Client) Open(target netip.AddrPort) (*Flow, error) {
+	client.mutex.Lock()
+	client.next++
+	flow := &Flow{client: client, inbox: make(chan Packet, 16), target: target, port: client.next, seq: rand.Uint32()}
+	client.flows[flow.port] = flow.inbox
+	client.mutex.Unlock()
+	for copies, pause := range openingPauses {
+		flow.send(FlagSYN, uint32(copies), nil)
+		answer, err := flow.await(pause, func(packet Packet) bool { return packet.Flags&FlagSYN != 0 })
+		if errors.Is(err, ErrBroken) {
+			return nil, ErrRefused
+		}
+		if err == nil {
+			flow.last = answer
+			flow.seq++
+			flow.send(FlagACK, answer.Seq+1, nil)
+			return flow, nil
+		}
+	}
+	return nil, ErrDeadline
+}
+
+// Request sends one request and returns who answered it, as "pool/id".
+func (flow *Flow) Request(body string) (string, error) {
+	for _, pause := range dataPauses {
+		flow.send(FlagACK, flow.last.Seq+1, []byte(body))
+		answer, err := flow.await(pause, func(packet Packet) bool {
+			_, answered, _ := strings.Cut(string(packet.Data), " ")
+			return answered == body
+		})
+		if errors.Is(err, ErrBroken) {
+			return "", err
+		}
+		if err == nil {
+			flow.last = answer
+			flow.seq += uint32(len(body))
+			server, _, _ := strings.Cut(string(answer.Data), " ")
+			return server, nil
+		}
+	}
+	return "", ErrDeadline
+}
+
+// Close ends the flow.
+func (flow *Flow) Close() { flow.send(FlagFIN|FlagACK, flow.last.Seq+1, nil) }
+
+func (flow *Flow) await(pause time.Duration, wanted func(Packet) bool) (Packet, error) {
+	timeout := time.After(pause)
+	for {
+		select {
+		case packet := <-flow.inbox:
+			if packet.Flags&FlagRST != 0 {
+				return packet, ErrBroken
+			}
+			flow.last.Echo = packet.Echo
+			if wanted(packet) {
+				return packet, nil
+			}
+		case <-timeout:
+			return Packet{}, ErrDeadline
+		}
+	}
+}
+
+func (flow *Flow) send(flags byte, ack uint32, data []byte) {
+	packet := Packet{
+		Echo: flow.last.Echo, Flags: flags, Seq: flow.seq, Ack: ack, Data: data,
+		Source: flow.client.address.Addr().As4(), SourcePort: flow.port,
+		Destination: flow.target.Addr().As4(), DestinationPort: flow.target.Port(),
+	}
+	if node, found := flow.client.router.Pick(packet); found {
+		_, _ = flow.client.socket.WriteToUDPAddrPort(packet.Encode(flow.client.key), node)
+	}
+}
--- /dev/null
+++ b/internal/standin/metadata/metadata.go
@@ -0,0 +1,336 @@
+// Package metadata is the stand-in of the platform's metadata store, written
+// from its published pages: keys under one rising revision, ranges in pages,
+// watches by long poll, transactions, leases, and faults on command.
+package metadata
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Faults are what can be switched on.
+type Faults struct {
+	// Busy answers every call with 503.
+	Busy bool
+	// Silent never answers.
+	Silent bool
+	// Throttled answers every call with 429.
+	Throttled bool
+	// Delay holds back every answer.
+	Delay time.Duration
+}
+
+// Item is one key, or one event on it.
+type Item struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Rev     uint64 `json:"rev"`
+	Created uint64 `json:"created,omitempty"`
+	Lease   uint64 `json:"lease"`
+	Gone    bool   `json:"gone,omitempty"`
+}
+
+// Server is the store. Its zero value is not usable; see New.
+type Server struct {
+	mutex    sync.Mutex
+	pageSize int
+	revision uint64
+	// compacted is the revision up to which history was dropped.
+	compacted uint64
+	items     map[string]Item
+	history   []Item
+	leases    map[uint64]time.Time
+	lengths   map[uint64]time.Duration
+	changed   chan struct{}
+	faults    Faults
+	calls     map[string]int
+}
+
+// New makes an empty store whose ranges come in pages of a size.
+func New(pageSize int) *Server {
+	return &Server{
+		pageSize: pageSize,
+		items:    make(map[string]Item),
+		leases:   make(map[uint64]time.Time),
+		lengths:  make(map[uint64]time.Duration),
+		changed:  make(chan struct{}),
+		calls:    make(map[string]int),
+	}
+}
+
+// SetFaults switches faults on and off.
+func (server *Server) SetFaults(faults Faults) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.faults = faults
+	server.wake()
+}
+
+// Calls returns the number of calls by path.
+func (server *Server) Calls() map[string]int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	copied := make(map[string]int, len(server.calls))
+	for path, count := range server.calls {
+		copied[path] = count
+	}
+	return copied
+}
+
+// Put writes a key as an operator or a back end does.
+func (server *Server) Put(key string, value []byte) uint64 {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.put(Item{Key: key, Value: value})
+	return server.revision
+}
+
+// Remove removes a key.
+func (server *Server) Remove(key string) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.remove(key)
+}
+
+// Compact drops the history.
+func (server *Server) Compact() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.compacted, server.history = server.revision, nil
+	server.wake()
+}
+
+func (server *Server) put(item Item) {
+	server.revision++
+	item.Rev, item.Created = server.revision, server.revision
+	if known, found := server.items[item.Key]; found {
+		item.Created = known.Created
+	}
+	server.items[item.Key] = item
+	server.history = append(server.history, item)
+	server.wake()
+}
+
+func (server *Server) remove(key string) {
+	if _, found := server.items[key]; !found {
+		return
+	}
+	server.revision++
+	delete(server.items, key)
+	server.history = append(server.history, Item{Key: key, Rev: server.revision, Gone: true})
+	server.wake()
+}
+
+func (server *Server) wake() {
+	close(server.changed)
+	server.changed = make(chan struct{})
+}
+
+// Handler returns the HTTP handler.
+func (server *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/kv-key", server.guard(server.key))
+	mux.HandleFunc("GET /api/kv-range", server.guard(server.scan))
+	mux.HandleFunc("GET /api/kv-watch", server.guard(server.watch))
+	mux.HandleFunc("POST /api/kv-txn", server.guard(server.transact))
+	mux.HandleFunc("POST /api/kv-lease", server.guard(server.lease))
+	mux.HandleFunc("POST /api/kv-keep/{lease}", server.guard(server.keep))
+	mux.HandleFunc("DELETE /api/kv-lease-end/{lease}", server.guard(server.endLease))
+	return mux
+}
+
+// guard counts a call and applies the faults.
+func (server *Server) guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(response http.ResponseWriter, request *http.Request) {
+		server.mutex.Lock()
+		faults := server.faults
+		path := strings.TrimPrefix(request.URL.Path, "/api/")
+		name, _, _ := strings.Cut(path, "/")
+		server.calls[name]++
+		server.expireLeases(time.Now())
+		server.mutex.Unlock()
+		switch {
+		case faults.Silent:
+			<-request.Context().Done()
+			return
+		case faults.Busy:
+			response.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case faults.Throttled:
+			response.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		time.Sleep(faults.Delay)
+		next(response, request)
+	}
+}
+
+func (server *Server) expireLeases(now time.Time) {
+	for lease, ends := range server.leases {
+		if now.After(ends) {
+			server.endLocked(lease)
+		}
+	}
+}
+
+func (server *Server) endLocked(lease uint64) {
+	delete(server.leases, lease)
+	for key, item := range server.items {
+		if item.Lease == lease {
+			server.remove(key)
+		}
+	}
+}
+
+func answer(response http.ResponseWriter, status int, body any) {
+	response.Header().Set("Content-Type", "application/json")
+	response.WriteHeader(status)
+	_ = json.NewEncoder(response).Encode(body)
+}
+
+func (server *Server) key(response http.ResponseWriter, request *http.Request) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	item, found := server.items[request.URL.Query().Get("key")]
+	if !found {
+		response.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(response, http.StatusOK, struct {
+		Item
+		At uint64 `json:"at"`
+	}{item, server.revision})
+}
+
+func (server *Server) scan(response http.ResponseWriter, request *http.Request) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	query := request.URL.Query()
+	found := []Item{}
+	for key, item := range server.items {
+		if strings.HasPrefix(key, query.Get("prefix")) && key > query.Get("after") {
+			found = append(found, item)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	more := len(found) > server.pageSize
+	found = found[:min(len(found), server.pageSize)]
+	answer(response, http.StatusOK, map[string]any{"items": found, "more": more, "at": server.revision})
+}
+
+func (server *Server) watch(response http.ResponseWriter, request *http.Request) {
+	query := request.URL.Query()
+	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(query.Get("wait_ms"))
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		server.mutex.Lock()
+		found, lost, changed, at := server.since(query.Get("prefix"), after), after < server.compacted, server.changed, server.revision
+		server.mutex.Unlock()
+		if lost {
+			response.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(found) > 0 {
+			answer(response, http.StatusOK, map[string]any{"events": found, "at": at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			answer(response, http.StatusOK, map[string]any{"events": found, "at": at})
+			return
+		case <-request.Context().Done():
+			return
+		}
+	}
+}
+
+func (server *Server) since(prefix string, after uint64) []Item {
+	found := []Item{}
+	for _, event := range server.history {
+		if event.Rev > after && strings.HasPrefix(event.Key, prefix) {
+			found = append(found, event)
+		}
+	}
+	return found
+}
+
+func (server *Server) transact(response http.ResponseWriter, request *http.Request) {
+	var body struct {
+		Expected []Item   `json:"expected_rev"`
+		Put      []Item   `json:"put"`
+		Remove   []string `json:"remove"`
+	}
+	if err := json.NewDecoder(request.Body).Decode(&body); err != nil {
+		http.Error(response, err.Error(), http.StatusBadRequest)
+		return
+	}
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	for _, expected := range body.Expected {
+		if server.items[expected.Key].Rev != expected.Rev {
+			answer(response, http.StatusPreconditionFailed, map[string]any{"items": []Item{server.items[expected.Key]}})
+			return
+		}
+	}
+	for _, item := range body.Put {
+		if strings.HasPrefix(item.Key, "op/") || strings.HasPrefix(item.Key, "servers/") {
+			response.WriteHeader(http.StatusForbidden)
+			return
+		}
+		if _, alive := server.leases[item.Lease]; item.Lease != 0 && !alive {
+			response.WriteHeader(http.StatusNotFound)
+			return
+		}
+	}
+	for _, item := range body.Put {
+		server.put(item)
+	}
+	for _, key := range body.Remove {
+		server.remove(key)
+	}
+	answer(response, http.StatusOK, map[string]any{"rev": server.revision})
+}
+
+func (server *Server) lease(response http.ResponseWriter, request *http.Request) {
+	var body struct {
+		TTL int64 `json:"ttl_ms"`
+	}
+	if err := json.NewDecoder(request.Body).Decode(&body); err != nil {
+		http.Error(response, err.Error(), http.StatusBadRequest)
+		return
+	}
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.revision++
+	length := time.Duration(body.TTL) * time.Millisecond
+	server.leases[server.revision] = time.Now().Add(length)
+	server.lengths[server.revision] = length
+	answer(response, http.StatusOK, map[string]any{"lease": server.revision, "ttl_ms": body.TTL})
+}
+
+func (server *Server) keep(response http.ResponseWriter, request *http.Request) {
+	lease, _ := strconv.ParseUint(request.PathValue("lease"), 10, 64)
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if _, alive := server.leases[lease]; !alive {
+		response.WriteHeader(http.StatusNotFound)
+		return
+	}
+	server.leases[lease] = time.Now().Add(server.lengths[lease])
+	answer(response, http.StatusOK, map[string]any{"ttl_ms": server.lengths[lease].Milliseconds()})
+}
+
+func (server *Server) endLease(response http.ResponseWriter, request *http.Request) {
+	lease, _ := strconv.ParseUint(request.PathValue("lease"), 10, 64)
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.endLocked(lease)
+	response.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/test/e2e/balancer_test.go
@@ -0,0 +1,355 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/indigobarrow/indigobarrow/internal/standin/echonet"
+	"github.com/indigobarrow/indigobarrow/internal/standin/metadata"
+)
+
+const (
+	sumKey     = 4711
+	clientPort = 8172
+	beatPause  = 200 * time.Millisecond
+)
+
+// site is a small deployment of the users' platform: balancers as processes,
+// everything else in this one, on loopback addresses of its own.
+type site struct {
+	*cluster
+	store    *metadata.Server
+	router   *echonet.Router
+	client   *echonet.Client
+	cancel   context.CancelFunc
+	ctx      context.Context
+	mutex    sync.Mutex
+	backends map[string]*siteBackend
+	version  int
+	seeds    []string
+}
+
+// siteBackend is a back end and its entry in the store.
+type siteBackend struct {
+	*echonet.Backend
+	address netip.AddrPort
+	state   string
+	zone    string
+	silent  bool
+}
+
+func newSite(t *testing.T, number int) *site {
+	base := &cluster{t: t, number: number, dir: t.TempDir(), nodes: make(map[string]*process)}
+	ctx, cancel := context.WithCancel(context.Background())
+	made := &site{cluster: base, store: metadata.New(500), router: &echonet.Router{}, ctx: ctx, cancel: cancel,
+		backends: make(map[string]*siteBackend)}
+	t.Cleanup(func() {
+		cancel()
+		base.stop()
+	})
+	server := &http.Server{Addr: base.ip(0, 1) + ":8169", Handler: made.store.Handler(), ReadHeaderTimeout: time.Second}
+	go func() { _ = server.ListenAndServe() }()
+	t.Cleanup(func() { _ = server.Close() })
+	go made.router.Run(ctx)
+	go made.beat()
+	var err error
+	made.client, err = echonet.StartClient(netip.MustParseAddrPort(base.ip(3, 1)+fmt.Sprintf(":%d", clientPort)), made.router, sumKey)
+	require.NoError(t, err)
+	t.Cleanup(made.client.Stop)
+	return made
+}
+
+// beat writes the entries of the back ends, as they do themselves.
+func (site *site) beat() {
+	for seq := 0; site.ctx.Err() == nil; seq++ {
+		site.mutex.Lock()
+		for id := range site.backends {
+			site.announce(id, seq)
+		}
+		site.mutex.Unlock()
+		time.Sleep(beatPause)
+	}
+}
+
+func (site *site) announce(id string, seq int) {
+	backend := site.backends[id]
+	if backend.silent {
+		return
+	}
+	value, _ := json.Marshal(map[string]any{"backend_pool": backend.Pool, "addr": backend.address.String(),
+		"zone": backend.zone, "version": "v1", "capacity": 2, "state": backend.state, "warmup_left_ms": 0, "seq": seq})
+	site.store.Put("servers/"+id, value)
+}
+
+func (site *site) startBackend(id, pool, zone string, host int) {
+	address := netip.MustParseAddrPort(site.ip(2, host) + ":8080")
+	started, err := echonet.StartBackend(id, pool, address, clientPort, sumKey)
+	require.NoError(site.t, err)
+	site.mutex.Lock()
+	defer site.mutex.Unlock()
+	site.backends[id] = &siteBackend{Backend: started, address: address, state: "ready", zone: zone}
+	site.announce(id, 0)
+}
+
+func (site *site) setState(id, state string) {
+	site.mutex.Lock()
+	defer site.mutex.Unlock()
+	site.backends[id].state = state
+	site.announce(id, 1)
+}
+
+// removeEntry takes a back end's entry away; the back end serves on.
+func (site *site) removeEntry(id string) {
+	site.mutex.Lock()
+	defer site.mutex.Unlock()
+	site.backends[id].silent = true
+	site.store.Remove("servers/" + id)
+}
+
+// configure writes a configuration. Each route is "name host port pool weight
+// [pool weight]".
+func (site *site) configure(routes ...string) {
+	site.version += 2
+	var rows []map[string]any
+	for _, route := range routes {
+		var name, host, pool string
+		var port int
+		_, err := fmt.Sscan(route, &name, &host, &port, &pool)
+		require.NoError(site.t, err)
+		rows = append(rows, map[string]any{"name": name, "host": host, "prefix": fmt.Sprintf("/%d/", port),
+			"kind": "idempotent", "timeout_ms": 2000, "backend_pool": pool})
+	}
+	value, _ := json.Marshal(map[string]any{"version": site.version, "routes": rows,
+		"limits": map[string]any{"idle_timeout_ms": 15000}})
+	site.store.Put("op/config", value)
+}
+
+func (site *site) startBalancer(zone string) *process {
+	site.started++
+	name := fmt.Sprintf("edge-%s-%d", zone, site.started)
+	host := site.ip(1, site.started)
+	peer := host + ":8166"
+	if len(site.seeds) < 3 {
+		site.seeds = append(site.seeds, peer)
+	}
+	content := fmt.Sprintf("name: %s\nzone: %s\ndata_address: %s:%d\nreadiness_address: %s:8167\npeer_address: %s\nstore_address: %s:8169\nseeds: %s\nlog_level: debug\n",
+		name, zone, host, clientPort, host, peer, site.ip(0, 1), strings.Join(site.seeds, ","))
+	path := filepath.Join(site.dir, name+".yaml")
+	require.NoError(site.t, os.WriteFile(path, []byte(content), 0o600))
+	started := site.start(name, "balancer", "--settings", path)
+	site.nodes[name] = started
+	site.router.Add(netip.MustParseAddrPort(fmt.Sprintf("%s:%d", host, clientPort)), host+":8167")
+	return started
+}
+
+// restart starts a balancer that was killed again, with its settings.
+func (site *site) restart(killed *process) *process {
+	return site.start(killed.name, "balancer", "--settings", filepath.Join(site.dir, killed.name+".yaml"))
+}
+
+func (site *site) waitIn(count int) {
+	require.Eventually(site.t, func() bool { return site.router.In() == count }, 20*time.Second, 20*time.Millisecond,
+		"balancers in")
+}
+
+func (site *site) target(host string, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr(host), port)
+}
+
+// open opens flows and returns them with the back end of each.
+func (site *site) open(target netip.AddrPort, count int) ([]*echonet.Flow, []string) {
+	var flows []*echonet.Flow
+	var servers []string
+	for index := range count {
+		flow, err := site.client.Open(target)
+		require.NoError(site.t, err)
+		server, err := flow.Request(fmt.Sprintf("first-%d", index))
+		require.NoError(site.t, err)
+		flows, servers = append(flows, flow), append(servers, server)
+	}
+	return flows, servers
+}
+
+// requireKept asks on each flow and requires the back end that it had.
+func (site *site) requireKept(flows []*echonet.Flow, servers []string) {
+	for index, flow := range flows {
+		server, err := flow.Request(fmt.Sprintf("again-%d-%d", index, time.Now().UnixNano()))
+		require.NoError(site.t, err)
+		require.Equal(site.t, servers[index], server)
+	}
+}
+
+const (
+	lendingRoute = "r-lending 198.18.0.1 443 lending"
+	coversRoute  = "r-covers 198.18.0.2 443 covers"
+)
+
+// newLendingSite starts two services and three balancers.
+func newLendingSite(t *testing.T, number int) (*site, []*process) {
+	site := newSite(t, number)
+	site.configure(lendingRoute, coversRoute)
+	for index := range 4 {
+		site.startBackend(fmt.Sprintf("i-a%d", index), "lending", zones[index%3], 1+index)
+	}
+	site.startBackend("i-c0", "covers", zones[0], 11)
+	site.startBackend("i-c1", "covers", zones[1], 12)
+	var started []*process
+	for index := range 3 {
+		started = append(started, site.startBalancer(zones[index%3]))
+	}
+	site.waitIn(3)
+	return site, started
+}
+
+// requireNothingStray requires that no back end saw a packet for another one
+// or a forged one.
+func (site *site) requireNothingStray() {
+	for id, backend := range site.backends {
+		_, foreign, _, forged := backend.Counts()
+		require.Zero(site.t, foreign, "%s: packets for another back end", id)
+		require.Zero(site.t, forged, "%s: forged packets", id)
+	}
+}
+
+func TestBalancerCalmDay(t *testing.T) {
+	t.Parallel()
+	site, _ := newLendingSite(t, 1)
+	flows, servers := site.open(site.target("198.18.0.1", 443), 30)
+	for _, server := range servers {
+		require.True(t, strings.HasPrefix(server, "lending/"), server)
+	}
+	_, covers := site.open(site.target("198.18.0.2", 443), 10)
+	for _, server := range covers {
+		require.True(t, strings.HasPrefix(server, "covers/"), server)
+	}
+	site.requireKept(flows, servers)
+	_, err := site.client.Open(site.target("198.18.0.9", 443))
+	require.ErrorIs(t, err, echonet.ErrRefused, "an address without a route")
+	site.requireNothingStray()
+}
+
+func TestBalancerDrainAndVanishing(t *testing.T) {
+	t.Parallel()
+	site, _ := newLendingSite(t, 2)
+	flows, servers := site.open(site.target("198.18.0.1", 443), 30)
+	site.setState("i-a0", "draining")
+	site.removeEntry("i-a1")
+	time.Sleep(3 * time.Second)
+	_, later := site.open(site.target("198.18.0.1", 443), 20)
+	require.NotContains(t, later, "lending/i-a0")
+	require.NotContains(t, later, "lending/i-a1")
+	site.requireKept(flows, servers)
+	site.requireNothingStray()
+}
+
+func TestBalancerKilledStoppedAndReplaced(t *testing.T) {
+	t.Parallel()
+	site, started := newLendingSite(t, 3)
+	flows, servers := site.open(site.target("198.18.0.1", 443), 30)
+	require.NoError(t, started[0].command.Process.Kill())
+	site.waitIn(2)
+	site.requireKept(flows, servers)
+	site.startBalancer(zones[0])
+	site.waitIn(3)
+	site.requireKept(flows, servers)
+	require.NoError(t, started[1].command.Process.Signal(syscall.SIGTERM))
+	for started[1].command.ProcessState == nil {
+		site.requireKept(flows, servers)
+		if site.router.In() == 2 {
+			_ = started[1].command.Wait()
+		}
+	}
+	require.Equal(t, 0, started[1].command.ProcessState.ExitCode())
+	site.requireKept(flows, servers)
+	site.requireNothingStray()
+}
+
+func TestBalancerAddressReuse(t *testing.T) {
+	t.Parallel()
+	site, _ := newLendingSite(t, 4)
+	site.mutex.Lock()
+	ended := site.backends["i-a0"]
+	ended.silent = true
+	ended.Stop()
+	site.mutex.Unlock()
+	site.startBackend("i-cc", "covers", zones[0], 1)
+	for range 20 {
+		flow, err := site.client.Open(site.target("198.18.0.1", 443))
+		if err != nil {
+			continue
+		}
+		server, err := flow.Request("lend")
+		require.NoError(t, err)
+		require.True(t, strings.HasPrefix(server, "lending/"), server)
+	}
+	_, _, _, forged := site.backends["i-cc"].Counts()
+	require.Zero(t, forged)
+}
+
+func TestBalancerConfigurationInForce(t *testing.T) {
+	t.Parallel()
+	site, _ := newLendingSite(t, 5)
+	flows, servers := site.open(site.target("198.18.0.1", 443), 10)
+	site.configure("r-lending 198.18.0.1 443 covers", "r-new 198.18.0.3 80 lending")
+	time.Sleep(3 * time.Second)
+	_, moved := site.open(site.target("198.18.0.1", 443), 10)
+	for _, server := range moved {
+		require.True(t, strings.HasPrefix(server, "covers/"), server)
+	}
+	site.open(site.target("198.18.0.3", 80), 5)
+	_, err := site.client.Open(site.target("198.18.0.2", 443))
+	require.ErrorIs(t, err, echonet.ErrRefused, "a route that was dropped")
+	site.requireKept(flows, servers)
+}
+
+// A balancer that starts while the store is silent learns everything from the
+// others, tombstones too.
+func TestBalancerStartsWhileTheStoreIsSilent(t *testing.T) {
+	t.Parallel()
+	site, started := newLendingSite(t, 6)
+	flows, servers := site.open(site.target("198.18.0.1", 443), 20)
+	site.removeEntry("i-a0")
+	time.Sleep(3 * time.Second)
+	site.store.SetFaults(metadata.Faults{Silent: true})
+	for _, place := range []int{1, 2} {
+		require.NoError(t, started[place].command.Process.Kill())
+		_ = started[place].command.Wait()
+	}
+	site.waitIn(1)
+	site.restart(started[1])
+	site.restart(started[2])
+	site.waitIn(3)
+	require.NoError(t, started[0].command.Process.Kill())
+	site.waitIn(2)
+	site.requireKept(flows, servers)
+	site.open(site.target("198.18.0.1", 443), 10)
+}
+
+// All balancers start anew with the store up.
+func TestBalancerAllRestart(t *testing.T) {
+	t.Parallel()
+	site, started := newLendingSite(t, 7)
+	flows, servers := site.open(site.target("198.18.0.1", 443), 20)
+	for _, each := range started {
+		require.NoError(t, each.command.Process.Kill())
+		_ = each.command.Wait()
+	}
+	site.waitIn(0)
+	for _, each := range started {
+		site.restart(each)
+	}
+	site.waitIn(3)
+	site.requireKept(flows, servers)
+}
