--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -59,9 +59,22 @@
 	// forgotten is the highest revision of a tombstone that was dropped. Who
 	// knows less than that needs a complete batch.
 	forgotten uint64
-	entries   map[Key]*entry
+	// steps are the latest rises of the revision, the oldest first.
+	steps   []step
+	entries map[Key]*entry
 }
 
+// step is one rise of the revision. What was both made and removed in between
+// may never have been seen here. Somebody whose revision lies in between may
+// know it, and needs a complete batch to learn of the removal.
+type step struct {
+	from, to uint64
+}
+
+// stepLimit is how many steps are remembered; a poll a second makes them last
+// longer than a follower is behind.
+const stepLimit = 256
+
 // New makes an empty directory that keeps tombstones for the given time.
 func New(retention time.Duration) *Directory {
 	return &Directory{retention: retention, entries: make(map[Key]*entry)}
@@ -73,25 +86,53 @@
 // Apply merges a batch and tells whether any entry changed.
 func (directory *Directory) Apply(batch *apiv1.DirectoryBatch, now time.Time) bool {
 	changed := false
+	late := batch.GetRevision() < directory.revision
 	for _, change := range batch.GetChanges() {
-		changed = directory.merge(change, now) || changed
+		changed = directory.merge(change, late, now) || changed
 	}
 	if batch.GetComplete() {
 		changed = directory.removeUnnamed(batch, now) || changed
 	}
-	directory.revision = max(directory.revision, batch.GetRevision())
+	directory.rise(batch.GetRevision())
 	return changed
 }
 
-// merge takes one change if it is newer than what is known. A change that
-// holds what is known already keeps its old revision, so that it is not passed
-// on to other balancers as news.
-func (directory *Directory) merge(change *apiv1.DirectoryChange, now time.Time) bool {
+func (directory *Directory) rise(revision uint64) {
+	if revision <= directory.revision {
+		return
+	}
+	directory.steps = append(directory.steps, step{from: directory.revision, to: revision})
+	directory.revision = revision
+	if len(directory.steps) > stepLimit {
+		directory.forgotten = max(directory.forgotten, directory.steps[0].to)
+		directory.steps = append(directory.steps[:0], directory.steps[1:]...)
+	}
+}
+
+// between tells whether a revision lies inside of a step.
+func (directory *Directory) between(revision uint64) bool {
+	for _, step := range directory.steps {
+		if step.from < revision && revision < step.to {
+			return true
+		}
+	}
+	return false
+}
+
+// merge takes one change if it is newer than what is known. It tells whether
+// the content changed. The revision is taken in any case: another balancer may
+// have seen a change in between that this one missed. A late batch, one that is
+// older than what is known, brings no entry back: had it lasted, it would be
+// known.
+func (directory *Directory) merge(change *apiv1.DirectoryChange, late bool, now time.Time) bool {
 	key := KeyOf(change)
 	if key.Kind == KindNone || change.GetRevision() == Unreadable {
 		return false
 	}
 	known := directory.entries[key]
+	if late && !change.GetGone() && (known == nil || known.change.GetGone()) {
+		return false
+	}
 	if known == nil {
 		made := &entry{change: change}
 		if change.GetGone() {
@@ -106,12 +147,10 @@
 	if change.GetGone() {
 		return directory.bury(known, change.GetRevision(), now)
 	}
-	if !known.change.GetGone() && sameContent(known.change, change) {
-		return false
-	}
+	same := !known.change.GetGone() && sameContent(known.change, change)
 	known.change = change
 	known.goneAt = time.Time{}
-	return true
+	return !same
 }
 
 // bury turns an entry into a tombstone that keeps what the entry last held.
@@ -132,11 +171,15 @@
 	return proto.Equal(known, compared)
 }
 
-// removeUnnamed buries the entries that a complete batch would have named.
+// removeUnnamed buries the entries that a complete batch would have named if
+// they still existed. A tombstone in the batch names nothing: it may be older
+// than an entry that was made and removed again since.
 func (directory *Directory) removeUnnamed(batch *apiv1.DirectoryBatch, now time.Time) bool {
 	named := make(map[Key]bool, len(batch.GetChanges()))
 	for _, change := range batch.GetChanges() {
-		named[KeyOf(change)] = true
+		if !change.GetGone() {
+			named[KeyOf(change)] = true
+		}
 	}
 	changed := false
 	for key, known := range directory.entries {
@@ -163,10 +206,10 @@
 	return dropped
 }
 
-// Since returns what changed after a revision. When tombstones after it were
-// dropped, or when the asker knows nothing, the batch is complete.
+// Since returns what changed after a revision. When the asker may know of
+// entries whose removal can't be told, or knows nothing, the batch is complete.
 func (directory *Directory) Since(after uint64) *apiv1.DirectoryBatch {
-	complete := after == 0 || after < directory.forgotten
+	complete := after == 0 || after < directory.forgotten || directory.between(after)
 	batch := &apiv1.DirectoryBatch{Revision: directory.revision, Complete: complete}
 	for _, known := range directory.entries {
 		if complete || known.change.GetRevision() > after {
--- /dev/null
+++ b/internal/tokenroute/tokenroute_test.go
@@ -0,0 +1,271 @@
+package tokenroute
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/directory"
+	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/rule"
+)
+
+var start = time.Now()
+
+func at(milliseconds int) time.Time {
+	return start.Add(time.Duration(milliseconds) * time.Millisecond)
+}
+
+func routes(revision uint64, table ...*apiv1.ServiceRoute) *apiv1.DirectoryChange {
+	return &apiv1.DirectoryChange{Revision: revision, Entry: &apiv1.DirectoryChange_Routes{
+		Routes: &apiv1.RouteTable{Version: revision, Routes: table}}}
+}
+
+func route(address uint32, shares ...*apiv1.PoolShare) *apiv1.ServiceRoute {
+	return &apiv1.ServiceRoute{Name: fmt.Sprintf("route-%d", address), Address: address, Port: 443, Pools: shares}
+}
+
+func share(pool string, weight uint32) *apiv1.PoolShare {
+	return &apiv1.PoolShare{Pool: pool, Weight: weight}
+}
+
+func backend(revision, number uint64, pool string) *apiv1.DirectoryChange {
+	return &apiv1.DirectoryChange{Revision: revision, Entry: &apiv1.DirectoryChange_Backend{Backend: &apiv1.PoolBackend{
+		Id: fmt.Sprintf("i-%016x", number), Number: number, Pool: pool, Address: 0x0a000001 + uint32(number), Port: 80}}}
+}
+
+func draining(change *apiv1.DirectoryChange) *apiv1.DirectoryChange {
+	change.GetBackend().Draining = true
+	return change
+}
+
+func gone(change *apiv1.DirectoryChange) *apiv1.DirectoryChange {
+	change.Gone = true
+	return change
+}
+
+func known(changes ...*apiv1.DirectoryChange) *directory.Directory {
+	made := directory.New(time.Minute)
+	made.Apply(&apiv1.DirectoryBatch{Changes: changes, Revision: 100}, start)
+	return made
+}
+
+func equal(directory.BackendEntry) uint32 { return rule.MaximumWeight }
+
+func options() Options {
+	return Options{Weigh: equal, LapseGrace: 1500 * time.Millisecond, Now: start}
+}
+
+func key(port int) flow.Key {
+	return flow.Key{Source: [4]byte{100, 64, 0, 1}, Destination: [4]byte{0, 0, 0, 1},
+		SourcePort: uint16(port), DestinationPort: 443, Protocol: flow.ProtocolTCP}
+}
+
+func first(port int) Packet { return Packet{Key: key(port), First: true} }
+
+func later(port int, token Token) Packet { return Packet{Key: key(port), Token: token} }
+
+func TestNothingIsRefusedWhileNothingIsKnown(t *testing.T) {
+	flows := NewFlows()
+	require.Equal(t, Decision{Verdict: Drop, Reason: ReasonNoTable}, flows.Decide(nil, first(1), start))
+}
+
+func TestAnyBalancerResolvesAnyPacket(t *testing.T) {
+	table := NewTable(known(routes(1, route(1, share("lending", 1))), backend(2, 7, "lending"), backend(3, 9, "lending")), options())
+	opened := NewFlows().Decide(table, first(1), start)
+	require.Equal(t, Forward, opened.Verdict)
+	other := NewFlows().Decide(table, later(1, opened.Backend.Token), start)
+	require.Equal(t, Decision{Verdict: Forward, Reason: ReasonToken, Backend: opened.Backend}, other)
+}
+
+func TestOpenFlowsAreNeverRefused(t *testing.T) {
+	table := NewTable(known(routes(1, route(1, share("lending", 1))), backend(2, 7, "lending"), backend(3, 9, "covers")), options())
+	flows := NewFlows()
+	require.Equal(t, Decision{Verdict: Drop, Reason: ReasonUnknownToken}, flows.Decide(table, later(1, 55), start))
+	require.Equal(t, Decision{Verdict: Drop, Reason: ReasonForeignToken}, flows.Decide(table, later(1, 9), start))
+	unrouted := later(1, 7)
+	unrouted.Key.Destination[3] = 9
+	require.Equal(t, Decision{Verdict: Drop, Reason: ReasonNoRoute}, flows.Decide(table, unrouted, start))
+}
+
+func TestNewFlowsAreRefusedAtOnceWithoutRouteOrBackend(t *testing.T) {
+	table := NewTable(known(routes(1, route(1, share("lending", 1)))), options())
+	flows := NewFlows()
+	require.Equal(t, Decision{Verdict: Refuse, Reason: ReasonNoBackend}, flows.Decide(table, first(1), start))
+	unrouted := first(1)
+	unrouted.Key.Destination[3] = 9
+	require.Equal(t, Decision{Verdict: Refuse, Reason: ReasonNoRoute}, flows.Decide(table, unrouted, start))
+}
+
+func TestLeavingBackendsGetNoNewFlowsAndKeepTheirs(t *testing.T) {
+	table := NewTable(known(routes(1, route(1, share("lending", 1))),
+		draining(backend(2, 7, "lending")), gone(backend(3, 8, "lending")), backend(4, 9, "lending"), backend(5, 10, "lending")), options())
+	flows := NewFlows()
+	for port := range 200 {
+		chosen := flows.Decide(table, first(port), start).Backend
+		require.Contains(t, []uint64{9, 10}, chosen.Number)
+	}
+	require.Equal(t, uint64(7), flows.Decide(table, later(1000, 7), start).Backend.Number)
+	require.Equal(t, uint64(8), flows.Decide(table, later(1001, 8), start).Backend.Number)
+}
+
+// When the store drops the entries of most of a pool at once, the back ends
+// are still used for the grace, and no longer.
+func TestVanishedPoolIsUsedForTheGrace(t *testing.T) {
+	all := known(routes(1, route(1, share("lending", 1))), gone(backend(2, 7, "lending")), gone(backend(3, 8, "lending")),
+		backend(4, 9, "lending"), draining(gone(backend(5, 10, "lending"))))
+	seen := chosenNumbers(NewTable(all, options()))
+	require.Equal(t, map[uint64]bool{7: true, 8: true, 9: true}, seen)
+	late := options()
+	late.Now = at(1500)
+	require.Equal(t, map[uint64]bool{9: true}, chosenNumbers(NewTable(all, late)))
+}
+
+func chosenNumbers(table *Table) map[uint64]bool {
+	seen := make(map[uint64]bool)
+	flows := NewFlows()
+	for port := range 300 {
+		seen[flows.Decide(table, first(port), start).Backend.Number] = true
+	}
+	return seen
+}
+
+func TestSplitFollowsItsWeights(t *testing.T) {
+	table := NewTable(known(routes(1, route(1, share("lending", 900), share("covers", 100))),
+		backend(2, 7, "lending"), backend(3, 8, "covers")), options())
+	flows := NewFlows()
+	covers := 0
+	for port := range 10000 {
+		if flows.Decide(table, first(port), start).Backend.Pool == "covers" {
+			covers++
+		}
+	}
+	require.InDelta(t, 1000, covers, 120)
+}
+
+func TestSharedTokens(t *testing.T) {
+	const high = uint64(1) << 32
+	all := known(routes(1, route(1, share("lending", 1)), route(2, share("covers", 1))),
+		backend(2, 7, "lending"), backend(3, high+7, "lending"), backend(4, 2*high+7, "covers"))
+	table := NewTable(all, options())
+	require.Equal(t, map[uint64]bool{7: true}, chosenNumbers(table), "only the holder takes new flows")
+	other := later(1, 7)
+	other.Key.Destination[3] = 2
+	require.Equal(t, 2*high+7, NewFlows().Decide(table, other, start).Backend.Number, "the route's pool decides")
+	require.NotEqual(t, NoToken, TokenOf(high), "no back end has the token of none")
+}
+
+// Open flows stay on a pool that their route no longer names.
+func TestFormerPools(t *testing.T) {
+	all := known(routes(1, route(1, share("covers", 1))), backend(2, 7, "lending"), backend(3, 8, "covers"))
+	strict := NewTable(all, options())
+	require.Equal(t, ReasonForeignToken, NewFlows().Decide(strict, later(1, 7), start).Reason)
+	former := options()
+	former.Former = map[flow.Address]map[string]bool{key(1).Address(): {"lending": true}}
+	require.Equal(t, uint64(7), NewFlows().Decide(NewTable(all, former), later(1, 7), start).Backend.Number)
+	young := options()
+	young.AdmitAll = true
+	require.Equal(t, uint64(7), NewFlows().Decide(NewTable(all, young), later(1, 7), start).Backend.Number)
+}
+
+func manyBackends(count int) *Table {
+	changes := []*apiv1.DirectoryChange{routes(1, route(1, share("lending", 1)))}
+	for number := range count {
+		changes = append(changes, backend(uint64(number+2), uint64(number+1), "lending"))
+	}
+	return NewTable(known(changes...), options())
+}
+
+func TestRepeatedFirstPackets(t *testing.T) {
+	table := manyBackends(5)
+	flows := NewFlows()
+	one := flows.Decide(table, first(1), at(0)).Backend
+	require.Equal(t, one, flows.Decide(table, first(1), at(100)).Backend, "before the answer was due")
+	two := flows.Decide(table, first(1), at(200)).Backend
+	require.NotEqual(t, one, two, "after a silence")
+	three := flows.Decide(table, first(1), at(600)).Backend
+	require.NotContains(t, []*Backend{one, two}, three)
+	require.Equal(t, three, flows.Decide(table, first(1), at(1400)).Backend, "no more than three")
+	require.Equal(t, one, NewFlows().Decide(table, first(1), at(200)).Backend,
+		"a balancer that saw no earlier copy takes the first choice")
+}
+
+// Two back ends have answered: the flow stays with the one that the client
+// went on with, whatever the token of a later answer says.
+func TestContestedFlowStaysWithItsOpener(t *testing.T) {
+	table := manyBackends(5)
+	flows := NewFlows()
+	one := flows.Decide(table, first(1), at(0)).Backend
+	two := flows.Decide(table, first(1), at(200)).Backend
+	require.Equal(t, one, flows.Decide(table, later(1, one.Token), at(210)).Backend)
+	for millisecond := 220; millisecond < 60_000; millisecond += 1000 {
+		kept := flows.Decide(table, later(1, two.Token), at(millisecond))
+		require.Equal(t, Decision{Verdict: Forward, Reason: ReasonKept, Backend: one}, kept)
+	}
+}
+
+func TestSilentBackendsAreAvoidedAndTriedAgain(t *testing.T) {
+	table := manyBackends(4)
+	flows := NewFlows()
+	silent := flows.Decide(table, first(1), at(0)).Backend
+	for port := 2; port < 300; port++ {
+		chosen := flows.Decide(table, first(port), at(200)).Backend
+		require.NotEqual(t, silent, chosen)
+		flows.Decide(table, later(port, chosen.Token), at(201))
+	}
+	again := 0
+	for port := 1000; port < 1300; port++ {
+		chosen := flows.Decide(table, first(port), at(1400)).Backend
+		if chosen == silent {
+			again++
+		}
+		flows.Decide(table, later(port, chosen.Token), at(1401))
+	}
+	require.Positive(t, again)
+}
+
+func TestAllSilentStillChooses(t *testing.T) {
+	table := manyBackends(2)
+	flows := NewFlows()
+	for port := range 50 {
+		flows.Decide(table, first(port), at(0))
+	}
+	require.Equal(t, Forward, flows.Decide(table, first(100), at(200)).Verdict)
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	table := manyBackends(3)
+	flows := NewFlows()
+	for port := range 60000 {
+		flows.Decide(table, first(port), at(port/100))
+	}
+	require.LessOrEqual(t, len(flows.current)+len(flows.previous), 2*generationLimit)
+	require.LessOrEqual(t, len(flows.queue), generationLimit)
+	flows.Decide(table, first(1), at(600_000))
+	flows.Decide(table, first(2), at(610_000))
+	require.LessOrEqual(t, len(flows.current)+len(flows.previous), 2)
+}
+
+func BenchmarkDecideToken(b *testing.B) {
+	table := manyBackends(200)
+	flows := NewFlows()
+	packet := later(1, 77)
+	b.ReportAllocs()
+	for b.Loop() {
+		flows.Decide(table, packet, start)
+	}
+}
+
+func BenchmarkDecideNewFlow(b *testing.B) {
+	table := manyBackends(200)
+	flows := NewFlows()
+	b.ReportAllocs()
+	port := 0
+	for b.Loop() {
+		port++
+		flows.Decide(table, first(port), start)
+	}
+}
