--- /dev/null
+++ b/internal/replication/core_test.go
@@ -0,0 +1,192 @@
+package replication
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+)
+
+var start = time.Now()
+
+func after(milliseconds int) time.Time {
+	return start.Add(time.Duration(milliseconds) * time.Millisecond)
+}
+
+func newCore(place int, seeds ...string) *Core {
+	return NewCore(Config{
+		Name: name(place), Zone: "maadi", Address: address(place), Seeds: seeds,
+		PollInterval: time.Second, StaleAfter: 1400 * time.Millisecond, TreeWidth: 2,
+		PeerPause: 2 * time.Second, BackoffLimit: time.Second,
+		StartPatience: 500 * time.Millisecond, AuditInterval: time.Minute,
+	}, rand.New(rand.NewPCG(1, 2)), start)
+}
+
+func name(place int) string    { return fmt.Sprintf("edge-%d", place) }
+func address(place int) string { return fmt.Sprintf("10.0.0.%d:8166", place) }
+
+func zoneOf(count int) []*apiv1.Balancer {
+	var found []*apiv1.Balancer
+	for place := range count {
+		found = append(found, &apiv1.Balancer{Name: name(place), Zone: "maadi", PeerAddress: address(place)})
+	}
+	return found
+}
+
+func TestOneReaderAZone(t *testing.T) {
+	readers := 0
+	for place := range 20 {
+		core := newCore(place)
+		core.SetBalancers(zoneOf(20))
+		if core.Reader() {
+			readers++
+		}
+	}
+	require.Equal(t, 1, readers)
+}
+
+func TestFollowersFormATree(t *testing.T) {
+	const count = 20
+	followers := make(map[string]int)
+	for place := range count {
+		core := newCore(place)
+		core.SetBalancers(zoneOf(count))
+		core.Confirm(after(0))
+		if core.Reader() {
+			continue
+		}
+		peer, found := core.NextPeer(after(100))
+		require.True(t, found)
+		require.NotEqual(t, address(place), peer.Address)
+		followers[peer.Address]++
+	}
+	for parent, count := range followers {
+		require.LessOrEqual(t, count, 2, parent)
+	}
+}
+
+func TestStaleFollowersReadTheStore(t *testing.T) {
+	core := follower(t)
+	core.Confirm(after(0))
+	core.PollSucceeded(PollPage, true, after(0))
+	require.Equal(t, PollNone, core.NextPoll(after(1400)))
+	require.Equal(t, PollPage, core.NextPoll(after(1401)))
+}
+
+// follower makes a core that is not its zone's reader.
+func follower(t *testing.T) *Core {
+	for place := range 3 {
+		core := newCore(place)
+		core.SetBalancers(zoneOf(3))
+		if !core.Reader() {
+			return core
+		}
+	}
+	require.Fail(t, "no follower")
+	return nil
+}
+
+func TestFailedPeersArePassedOver(t *testing.T) {
+	core := follower(t)
+	core.Confirm(after(0))
+	one, _ := core.NextPeer(after(10))
+	core.PeerFailed(one, after(10))
+	two, found := core.NextPeer(after(20))
+	require.True(t, found)
+	require.NotEqual(t, one.Address, two.Address)
+	core.PeerFailed(two, after(20))
+	_, found = core.NextPeer(after(30))
+	require.False(t, found)
+	again, found := core.NextPeer(after(2010))
+	require.True(t, found)
+	require.Equal(t, one.Address, again.Address)
+}
+
+func TestStalePeersArePassedOver(t *testing.T) {
+	core := follower(t)
+	core.Confirm(after(0))
+	one, _ := core.NextPeer(after(10))
+	core.PeerAnswered(one, after(-5000), after(10))
+	two, found := core.NextPeer(after(20))
+	require.True(t, found)
+	require.NotEqual(t, one.Address, two.Address)
+}
+
+// A throttled store is called ever less often, within a bound, and again at
+// the usual pace once it answers.
+func TestStoreBackoff(t *testing.T) {
+	core := newCore(1)
+	core.SetBalancers(nil)
+	now := after(0)
+	calls := 0
+	for elapsed := 0; elapsed < 10_000; elapsed += 10 {
+		now = after(elapsed)
+		if core.NextPoll(now) != PollNone {
+			calls++
+			core.PollStarted(PollPage, now)
+			core.PollFailed(now)
+		}
+	}
+	require.Less(t, calls, 25)
+	require.Greater(t, calls, 9, "it is tried at least once a second")
+	core.PollSucceeded(PollPage, true, now)
+	core.PollStarted(PollPage, now)
+	require.Equal(t, PollNone, core.NextPoll(now.Add(999*time.Millisecond)))
+	require.Equal(t, PollPage, core.NextPoll(now.Add(time.Second)))
+}
+
+// Confirmations never go back, whatever arrives late.
+func TestConfirmationIsMonotone(t *testing.T) {
+	core := newCore(1)
+	require.True(t, core.Confirm(after(100)))
+	require.False(t, core.Confirm(after(50)))
+	age, known := core.Age(after(300))
+	require.True(t, known)
+	require.Equal(t, 200*time.Millisecond, age)
+}
+
+func TestLargeStoreIsLeftToTheReaderAtAStart(t *testing.T) {
+	core := newCore(1, address(7))
+	core.SetBalancers(nil)
+	require.Equal(t, PollPage, core.NextPoll(after(0)))
+	core.PollStarted(PollPage, after(0))
+	core.PollSucceeded(PollPage, false, after(10))
+	require.Equal(t, PollNone, core.NextPoll(after(10)), "peers are asked first")
+	require.Equal(t, PollSnapshot, core.NextPoll(after(1010)), "patience ends")
+}
+
+func TestSeedReadsALargeStoreAtOnce(t *testing.T) {
+	core := newCore(1, address(1))
+	core.SetBalancers(nil)
+	core.PollStarted(PollPage, after(0))
+	core.PollSucceeded(PollPage, false, after(10))
+	require.Equal(t, PollSnapshot, core.NextPoll(after(10)))
+}
+
+func TestLargeStoreIsFollowedByItsChanges(t *testing.T) {
+	core := newCore(1, address(1))
+	core.SetBalancers(nil)
+	core.PollSucceeded(PollPage, false, after(0))
+	core.PollStarted(PollSnapshot, after(0))
+	core.Confirm(after(0))
+	core.PollSucceeded(PollSnapshot, true, after(50))
+	require.Equal(t, PollChanges, core.NextPoll(after(1000)))
+	core.HistoryLost(after(1000))
+	require.Equal(t, PollSnapshot, core.NextPoll(after(1000)))
+}
+
+func TestReaderAsksForTombstonesOnceAtItsStart(t *testing.T) {
+	core := newCore(1, address(7))
+	core.SetBalancers(nil)
+	core.Confirm(after(0))
+	peer, found := core.NextPeer(after(1))
+	require.True(t, found)
+	require.True(t, peer.Everything)
+	core.PeerAnswered(peer, after(1), after(2))
+	_, found = core.NextPeer(after(3))
+	require.False(t, found)
+}
