--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -213,7 +213,7 @@
 	control.nextTurn = time.Time{}
 	control.rememberPools(now)
 	table := tokenroute.NewTable(control.known, tokenroute.Options{
-		Weigh:      control.weigh,
+		Weigh:      control.weigher(now),
 		Former:     control.formerPools(now),
 		AdmitAll:   now.Sub(control.firstAt) < control.flowLife(),
 		LapseGrace: lapseGrace,
@@ -234,9 +234,12 @@
 	return time.Duration(control.balancer.settings.Load().GetFlowMilliseconds()) * time.Millisecond
 }
 
-// scheduleTurn sets when the table changes without news: vanished back ends
-// lose their grace.
+// scheduleTurn sets when the table changes without news: new flows return to
+// their zone, or vanished back ends lose their grace.
 func (control *control) scheduleTurn(now time.Time) {
+	if spreadEnd := control.firstAt.Add(spreadTime); now.Before(spreadEnd) {
+		control.nextTurn = spreadEnd
+	}
 	for _, backend := range control.known.Backends() {
 		end := backend.GoneAt.Add(lapseGrace)
 		if !backend.Gone || !now.Before(end) {
