Let few balancers share one reader over all zones

Up to 16 balancers now share one order. Safety rests on the age of knowledge as before, not on the order.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -117,6 +117,9 @@
 
 // Run serves until the context ends.
 func (balancer *Balancer) Run(ctx context.Context) error {
+	settings := balancer.settings.Load()
+	balancer.logger.Info("Started.", "zone", settings.GetZone(), "data", settings.GetDataAddress(),
+		"peers", settings.GetPeerAddress(), "store", settings.GetStoreAddress())
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return balancer.traffic.run(ctx) })
 	group.Go(func() error { return balancer.control.run(ctx) })
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -71,6 +71,9 @@
 			PollInterval: time.Duration(settings.GetPollMilliseconds()) * time.Millisecond,
 			StaleAfter:   time.Duration(settings.GetStaleMilliseconds()) * time.Millisecond,
 			TreeWidth:    replication.DefaultTreeWidth,
+
+			SharedOrderLimit: replication.DefaultSharedOrderLimit,
+
 			PeerPause:    peerPause,
 			BackoffLimit: storeBackoffLimit,
 
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -22,6 +22,9 @@
 	StaleAfter time.Duration
 	// TreeWidth is how many balancers follow one.
 	TreeWidth int
+	// SharedOrderLimit is up to how many balancers share one order over all
+	// zones.
+	SharedOrderLimit int
 	// PeerPause is for how long a peer that failed is passed over.
 	PeerPause time.Duration
 	// BackoffLimit is the longest pause after a failed call to the store.
@@ -54,13 +57,16 @@
 // DefaultTreeWidth suits readers that answer a few calls a second.
 const DefaultTreeWidth = 8
 
+// DefaultSharedOrderLimit keeps a shared order no deeper than a zone's own.
+const DefaultSharedOrderLimit = 2 * DefaultTreeWidth
+
 // Core is the state of one balancer's replication. It belongs to one
 // goroutine.
 type Core struct {
 	config Config
 	chance *rand.Rand
-	// order is this zone's balancers, the reader first; others follow with
-	// those of the other zones.
+	// order is the balancers that share a reader, the reader first; others are
+	// those of other orders.
 	order  []*apiv1.Balancer
 	others []*apiv1.Balancer
 	// confirmedAt is when the store last confirmed what is known; the zero time
@@ -95,15 +101,17 @@
 // SetSeeds replaces the addresses to ask while no balancer is known.
 func (core *Core) SetSeeds(seeds []string) { core.config.Seeds = seeds }
 
-// SetBalancers takes the balancers that have an entry in the directory.
+// SetBalancers takes the balancers that have an entry in the directory. While
+// they are few, all zones share one order, and so one reader.
 func (core *Core) SetBalancers(known []*apiv1.Balancer) {
 	core.order, core.others = nil, nil
 	self := &apiv1.Balancer{Name: core.config.Name, Zone: core.config.Zone, PeerAddress: core.config.Address}
 	core.order = append(core.order, self)
+	few := len(known) <= core.config.SharedOrderLimit
 	for _, balancer := range known {
 		switch {
 		case balancer.GetName() == core.config.Name:
-		case balancer.GetZone() == core.config.Zone:
+		case few || balancer.GetZone() == core.config.Zone:
 			core.order = append(core.order, balancer)
 		default:
 			core.others = append(core.others, balancer)
--- a/internal/replication/doc.go
+++ b/internal/replication/doc.go
@@ -2,10 +2,11 @@
 // from which other balancer.
 //
 // The store answers only so many calls a second, and every call has its price,
-// so not every balancer reads it. In each zone, the balancers are put in an
-// order that all of them know (rendezvous hashing over their names). The first
-// one, the reader, reads the store at a fixed pace; each of the others follows
-// one balancer before it in the order, its parent, in a tree of a fixed width.
+// so not every balancer reads it. In each zone (in all zones together while they
+// are few), the balancers are put in an order that all of them know, by a hash
+// of their names. The first one, the reader, reads the store at a fixed pace;
+// each of the others follows one balancer before it in the order, its parent,
+// in a tree of a fixed width.
 // A follower's call waits at its parent until there is news, so a change passes
 // down the tree in a few milliseconds a level.
 //
