Let a peer that knows nothing confirm nothing

Cause: the answer of a peer that knows nothing, with its age beyond all bounds, set the time of confirmation, so the balancer took itself for one that knows something old and spaced its calls up to a second. Ruled out: hung calls (all were answered 503 within 20 ms).

A balancer that knows nothing now also asks peers and, 30 times, the store at a quicker pace. The test was red without the change of control.go.

--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -189,8 +189,9 @@
 		control.rebuild = true
 		control.core.SetBalancers(control.known.Balancers())
 	}
-	incomplete := news.GetPoll() == uint32(replication.PollPage) && !news.GetBatch().GetComplete()
-	if !news.GetCheck() && !incomplete {
+	// A batch without a revision is a part of what the store holds, or comes
+	// from a peer that knows nothing itself.
+	if news.GetBatch().GetRevision() > 0 {
 		control.core.Confirm(asOf)
 	}
 }
--- /dev/null
+++ b/internal/balancer/control_test.go
@@ -0,0 +1,150 @@
+package balancer
+
+import (
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/directory"
+	"github.com/indigobarrow/indigobarrow/internal/events"
+	"github.com/indigobarrow/indigobarrow/internal/rule"
+	"github.com/indigobarrow/indigobarrow/internal/settings"
+)
+
+// newTestControl makes the control state of a balancer without sockets.
+func newTestControl() *control {
+	loaded := settings.BalancerDefaults()
+	loaded.Name, loaded.Zone = "edge-1", "maadi"
+	made := &Balancer{
+		logger:  slog.New(slog.NewTextHandler(io.Discard, nil)),
+		started: time.Now().Add(-time.Minute),
+		bus:     events.NewBus(),
+	}
+	made.settings.Store(loaded)
+	made.control = newControl(made, rand.New(rand.NewPCG(1, 2)))
+	return made.control
+}
+
+func (control *control) nanoseconds(at time.Time) int64 {
+	return int64(at.Sub(control.balancer.started))
+}
+
+func routesBatch(revision uint64) *apiv1.DirectoryBatch {
+	return &apiv1.DirectoryBatch{Revision: revision, Complete: true, Changes: []*apiv1.DirectoryChange{{
+		Revision: revision, Entry: &apiv1.DirectoryChange_Routes{Routes: &apiv1.RouteTable{Version: revision}}}}}
+}
+
+// A peer that knows nothing answers with an age beyond all bounds and no
+// revision. It confirms nothing, so the store is asked eagerly as before.
+func TestPeerThatKnowsNothingConfirmsNothing(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	control.learn(&apiv1.DirectoryNews{
+		Peer: "10.0.0.2:8166", Batch: &apiv1.DirectoryBatch{Complete: true},
+		AsOfNanoseconds: control.nanoseconds(now.Add(-unknownAge)),
+	}, now)
+	_, known := control.core.Age(now)
+	require.False(t, known)
+}
+
+func TestPartOfTheStoreConfirmsNothing(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	part := routesBatch(5)
+	part.Revision, part.Complete = 0, false
+	control.learn(&apiv1.DirectoryNews{Batch: part, AsOfNanoseconds: control.nanoseconds(now)}, now)
+	_, known := control.core.Age(now)
+	require.False(t, known)
+	require.NotNil(t, control.known.Routes(), "it is used all the same")
+}
+
+func TestFailedCallsLeaveWhatIsKnown(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	control.learn(&apiv1.DirectoryNews{Batch: routesBatch(5), AsOfNanoseconds: control.nanoseconds(now)}, now)
+	control.learn(&apiv1.DirectoryNews{Error: "status 503"}, now)
+	control.learn(&apiv1.DirectoryNews{Peer: "10.0.0.2:8166", Error: "connection refused"}, now)
+	control.learn(&apiv1.DirectoryNews{HistoryLost: true, Error: "gone"}, now)
+	require.Equal(t, uint64(5), control.known.Routes().GetVersion())
+}
+
+// ask puts a follower's call to the control state and returns its answer, or
+// nil while it waits.
+func (control *control) ask(after uint64, confirmedAt, now time.Time) *apiv1.FollowReply {
+	asking := &follower{after: after, takenAt: now, confirmedAt: confirmedAt, until: now.Add(time.Second),
+		reply: make(chan *apiv1.FollowReply, 1)}
+	control.take(asking)
+	control.answerWaiting(now)
+	select {
+	case reply := <-asking.reply:
+		return reply
+	default:
+		return nil
+	}
+}
+
+func TestFollowersAreAnsweredAtOnceWhenThereIsNews(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	require.Nil(t, control.ask(0, now, now), "nothing is known yet")
+	control.learn(&apiv1.DirectoryNews{Batch: routesBatch(5), AsOfNanoseconds: control.nanoseconds(now)}, now)
+	require.NotNil(t, control.ask(0, now, now), "entries")
+	require.NotNil(t, control.ask(5, now.Add(-time.Second), now), "a younger confirmation")
+	require.Nil(t, control.ask(5, now, now), "nothing new")
+}
+
+func TestFollowersWaitInBoundedNumber(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	for range followersLimit + 10 {
+		control.ask(0, now, now)
+	}
+	require.LessOrEqual(t, len(control.waiting), followersLimit)
+}
+
+func TestNewFlowsStayInTheirZoneAfterTheSpreadTime(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	control.firstAt = now
+	remote := directory.BackendEntry{PoolBackend: &apiv1.PoolBackend{Zone: "giza"}}
+	local := directory.BackendEntry{PoolBackend: &apiv1.PoolBackend{Zone: "maadi"}}
+	require.Equal(t, uint32(rule.MaximumWeight), control.weigher(now)(remote))
+	require.Equal(t, uint32(remoteWeight), control.weigher(now.Add(spreadTime))(remote))
+	require.Equal(t, uint32(rule.MaximumWeight), control.weigher(now.Add(spreadTime))(local))
+}
+
+// The table turns back to its zone without news, and open flows keep the pools
+// that their route had for the life of a flow.
+func TestTableTurnsWithoutNews(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	control.learn(&apiv1.DirectoryNews{Batch: routesBatch(5), AsOfNanoseconds: control.nanoseconds(now)}, now)
+	control.renewTable(now)
+	require.NotNil(t, control.balancer.table.Load())
+	require.Equal(t, now.Add(spreadTime), control.nextTurn)
+	control.renewTable(now.Add(spreadTime))
+	require.True(t, control.nextTurn.IsZero())
+}
+
+func TestReloadTakesAllOrNothing(t *testing.T) {
+	control := newTestControl()
+	balancer := control.balancer
+	level := new(slog.LevelVar)
+	loaded := settings.BalancerDefaults()
+	loaded.Name, loaded.Zone, loaded.LogLevel = "edge-1", "maadi", "debug"
+	load := func() (*apiv1.BalancerSettings, error) { return loaded, nil }
+	balancer.reload(Reloader{Load: load, Level: level})
+	require.Equal(t, "debug", balancer.settings.Load().GetLogLevel())
+	require.Equal(t, slog.LevelDebug, level.Level())
+	moved := settings.BalancerDefaults()
+	moved.Name, moved.Zone, moved.DataAddress = "edge-1", "maadi", "127.0.0.9:1"
+	balancer.reload(Reloader{Load: func() (*apiv1.BalancerSettings, error) { return moved, nil }, Level: level})
+	require.Equal(t, "debug", balancer.settings.Load().GetLogLevel(), "a changed address needs a restart")
+	balancer.reload(Reloader{Load: func() (*apiv1.BalancerSettings, error) { return nil, io.EOF }, Level: level})
+	require.Equal(t, "debug", balancer.settings.Load().GetLogLevel(), "a faulty file changes nothing")
+}
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -229,11 +229,22 @@
 // firstBackoff is the pause after one failed call; it doubles with each.
 const firstBackoff = 100 * time.Millisecond
 
+// A balancer that knows nothing can serve nobody, so it asks the store and its
+// peers at a quicker pace, the store for a bounded number of calls.
+const (
+	eagerFailures = 30
+	eagerLimit    = 250 * time.Millisecond
+	eagerPause    = 100 * time.Millisecond
+)
+
 // PollFailed spaces the next call to the store after a failure: twice as long
 // each time, half of it by chance, so that balancers do not call together.
 func (core *Core) PollFailed(now time.Time) {
-	pause := firstBackoff << min(core.failures, 10)
-	pause = min(pause, core.config.BackoffLimit)
+	limit := core.config.BackoffLimit
+	if core.confirmedAt.IsZero() && core.failures < eagerFailures {
+		limit = eagerLimit
+	}
+	pause := min(firstBackoff<<min(core.failures, 10), limit)
 	core.failures++
 	half := pause / 2
 	core.nextPoll = now.Add(half + time.Duration(core.chance.Int64N(int64(half)+1)))
@@ -281,11 +292,17 @@
 }
 
 // PeerAnswered takes a peer's answer: its knowledge was confirmed as of a time.
-// A peer that is itself stale is passed over for a while.
+// A peer that is itself stale is passed over for a while, and one that knows
+// nothing has yet to be asked for everything.
 func (core *Core) PeerAnswered(peer Peer, asOf, now time.Time) {
-	core.asked[peer.Address] = true
-	if now.Sub(asOf) > core.config.StaleAfter {
+	stale := now.Sub(asOf) > core.config.StaleAfter
+	switch {
+	case stale && core.confirmedAt.IsZero():
+		core.paused[peer.Address] = now.Add(eagerPause)
+	case stale:
 		core.paused[peer.Address] = now.Add(core.config.PeerPause)
+	default:
+		core.asked[peer.Address] = true
 	}
 }
 
--- a/internal/replication/core_test.go
+++ b/internal/replication/core_test.go
@@ -121,6 +121,7 @@
 func TestStoreBackoff(t *testing.T) {
 	core := newCore(1)
 	core.SetBalancers(nil)
+	core.Confirm(after(-5000))
 	now := after(0)
 	calls := 0
 	for elapsed := 0; elapsed < 10_000; elapsed += 10 {
@@ -139,6 +140,35 @@
 	require.Equal(t, PollPage, core.NextPoll(now.Add(time.Second)))
 }
 
+// A balancer that knows nothing asks more eagerly, the store for a while only.
+func TestEagerWhileNothingIsKnown(t *testing.T) {
+	core := newCore(1, address(7), address(8))
+	core.SetBalancers(nil)
+	calls, late := 0, 0
+	for elapsed := 0; elapsed < 30_000; elapsed += 10 {
+		if core.NextPoll(after(elapsed)) == PollNone {
+			continue
+		}
+		core.PollStarted(PollPage, after(elapsed))
+		core.PollFailed(after(elapsed))
+		calls++
+		if elapsed > 20_000 {
+			late++
+		}
+	}
+	require.Greater(t, calls, 40)
+	require.Less(t, late, 25)
+	one, _ := core.NextPeer(after(0))
+	core.PeerAnswered(one, after(-1_000_000), after(0))
+	two, _ := core.NextPeer(after(1))
+	require.NotEqual(t, one.Address, two.Address)
+	core.PeerAnswered(two, after(-1_000_000), after(1))
+	again, found := core.NextPeer(after(100))
+	require.True(t, found)
+	require.Equal(t, one.Address, again.Address)
+	require.True(t, again.Everything)
+}
+
 // Confirmations never go back, whatever arrives late.
 func TestConfirmationIsMonotone(t *testing.T) {
 	core := newCore(1)
--- /dev/null
+++ b/internal/settings/balancer_test.go
@@ -0,0 +1,50 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const goodBalancer = `name: edge-maadi-1
+zone: maadi
+data_address: 10.1.0.10:8172
+readiness_address: 10.1.0.10:8167
+peer_address: 10.1.0.10:8166
+store_address: 10.200.1.7:8169
+seeds: "10.1.0.10:8166,10.2.0.40:8166"
+`
+
+func writeSettings(t *testing.T, content string) string {
+	path := filepath.Join(t.TempDir(), "balancer.yaml")
+	require.NoError(t, os.WriteFile(path, []byte(content), 0o600))
+	return path
+}
+
+func TestBalancerSettings(t *testing.T) {
+	loaded, err := LoadBalancer(writeSettings(t, goodBalancer), nil)
+	require.NoError(t, err)
+	require.Equal(t, []string{"10.1.0.10:8166", "10.2.0.40:8166"}, loaded.GetSeeds())
+	require.Equal(t, uint32(1000), loaded.GetPollMilliseconds())
+}
+
+func TestFaultyBalancerSettingsAreAllNamed(t *testing.T) {
+	_, err := LoadBalancer(writeSettings(t, goodBalancer+"poll_milliseconds: 5\nlog_level: loud\nnonsense: 1\n"), nil)
+	require.Error(t, err)
+	for _, part := range []string{"poll_milliseconds", `"5"`, "set it between 100", "log_level", `"loud"`, "use one of", "nonsense"} {
+		require.Contains(t, err.Error(), part)
+	}
+}
+
+// The template that the platform fills gives a file that is good once filled.
+func TestDeployTemplateNamesKnownFields(t *testing.T) {
+	content, err := os.ReadFile(filepath.Join("..", "..", "deploy", "balancer.yaml"))
+	require.NoError(t, err)
+	defaults := BalancerDefaults()
+	faults := readFile(content, defaults, make(map[string]int))
+	for _, fault := range faults {
+		require.NotContains(t, fault.Message, "no such field", fault.String())
+	}
+}
