Let policy programs decide the spread on the platform too

Policies lie in the store under keys of our own, one named after a pool or "default", written with balancer policy put under their revision. They see the zone, capacity, warm-up and drain of a back end; without one the zones decide as before. A program that fails is passed over with a line in the log.

--- a/cmd/balancer/main.go
+++ b/cmd/balancer/main.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
@@ -33,13 +34,39 @@
 	return &cli.Command{
 		Name:  "balancer",
 		Usage: "run a balancer that binds flows by tokens",
-		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Sources: cli.EnvVars("INDIGOBARROW_CONFIG")}},
+
+		EnableShellCompletion: true,
+
+		Commands: []*cli.Command{policyCommand(), checkCommand()},
+		Flags:    []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Sources: cli.EnvVars("INDIGOBARROW_CONFIG")}},
 		Action: func(ctx context.Context, command *cli.Command) error {
+			if command.Args().Present() {
+				return errors.Newf("there is no command %q; see --help", command.Args().First())
+			}
 			return run(ctx, command.String("settings"))
 		},
 	}
 }
 
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "check a settings FILE without starting",
+		ArgsUsage: "FILE",
+		Action: func(_ context.Context, command *cli.Command) error {
+			if command.Args().Len() != 1 {
+				return errors.New("check takes one FILE; see --help")
+			}
+			loaded, err := settings.LoadBalancer(command.Args().First(), nil)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("settings are good: balancer %s, zone %s\n", loaded.GetName(), loaded.GetZone())
+			return nil
+		},
+	}
+}
+
 // run serves until SIGTERM, which is a planned stop: the balancer says that it
 // is not ready, forwards until the routers have turned away, and ends.
 func run(ctx context.Context, path string) error {
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -43,6 +43,7 @@
 	known     *directory.Directory
 	core      *replication.Core
 	client    *replication.Client
+	programs  programs
 	followers chan *follower
 	waiting   []*follower
 	polling   bool
@@ -81,6 +82,7 @@
 			AuditInterval: auditInterval,
 		}, chance, balancer.started),
 		client:    replication.NewClient(balancer.logger),
+		programs:  programs{compiled: make(map[string]*compiledPolicy)},
 		followers: make(chan *follower, followersLimit),
 		former:    make(map[flow.Address]map[string]time.Time),
 	}
--- a/internal/balancer/control_test.go
+++ b/internal/balancer/control_test.go
@@ -148,3 +148,24 @@
 	balancer.reload(Reloader{Load: func() (*apiv1.BalancerSettings, error) { return nil, io.EOF }, Level: level})
 	require.Equal(t, "debug", balancer.settings.Load().GetLogLevel(), "a faulty file changes nothing")
 }
+
+func policyBatch(revision uint64, name, weight string) *apiv1.DirectoryBatch {
+	return &apiv1.DirectoryBatch{Revision: revision, Changes: []*apiv1.DirectoryChange{{
+		Revision: revision, Entry: &apiv1.DirectoryChange_Policy{Policy: &apiv1.Policy{Name: name, Weight: weight}}}}}
+}
+
+func TestPoliciesDecideTheSpread(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	lending := directory.BackendEntry{PoolBackend: &apiv1.PoolBackend{Id: "i-1", Pool: "lending", Zone: "maadi", Capacity: 4}}
+	covers := directory.BackendEntry{PoolBackend: &apiv1.PoolBackend{Id: "i-2", Pool: "covers", Zone: "maadi", Draining: true}}
+	control.known.Apply(policyBatch(1, "lending", "capacity / 8.0"), now)
+	require.Equal(t, uint32(500), control.weigher(now)(lending))
+	require.Equal(t, uint32(rule.MaximumWeight), control.weigher(now)(covers), "no policy of its own")
+	control.known.Apply(policyBatch(2, "default", "local ? 0.25 : 1.0"), now)
+	require.Zero(t, control.weigher(now)(covers), "the default policy's leaving")
+	control.known.Apply(policyBatch(3, "lending", "1.0 / (capacity - 4.0)"), now)
+	require.Equal(t, uint32(rule.MaximumWeight), control.weigher(now)(lending), "a program that fails is passed over")
+	control.known.Apply(policyBatch(4, "lending", "not a program"), now)
+	require.Equal(t, uint32(rule.MaximumWeight), control.weigher(now)(lending))
+}
--- a/internal/balancer/weigh.go
+++ b/internal/balancer/weigh.go
@@ -1,9 +1,12 @@
 package balancer
 
 import (
+	"math"
 	"time"
 
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/directory"
+	"github.com/indigobarrow/indigobarrow/internal/policy"
 	"github.com/indigobarrow/indigobarrow/internal/rule"
 )
 
@@ -15,16 +18,92 @@
 	// ends spreads new flows over all zones. After an outage all clients come
 	// back at once, and the zones together take more than each alone.
 	spreadTime = 3 * time.Second
+	// defaultPolicy names the policy of pools that have none of their own.
+	defaultPolicy = "default"
+	// longAgo stands for times that nobody has reported, in seconds.
+	longAgo = 3600
 )
 
-// weigher gives the relative share of new flows that a back end takes.
+// Back ends as policies know them.
+const (
+	stateLive    = "live"
+	stateLeaving = "leaving"
+)
+
+// weigher gives the relative share of new flows that a back end takes: by the
+// policy of its pool, else by the default policy, else by its zone. A policy
+// that fails is passed over, so that a bad program never stops traffic.
 func (control *control) weigher(now time.Time) func(directory.BackendEntry) uint32 {
 	zone := control.balancer.settings.Load().GetZone()
 	spread := now.Sub(control.firstAt) < spreadTime
 	return func(backend directory.BackendEntry) uint32 {
-		if spread || backend.GetZone() == zone {
+		local := backend.GetZone() == zone
+		if program := control.programs.find(control.known, backend.GetPool()); program != nil {
+			if weight, ok := control.evaluate(program, backend, local); ok {
+				return weight
+			}
+		}
+		if spread || local {
 			return rule.MaximumWeight
 		}
 		return remoteWeight
 	}
 }
+
+func (control *control) evaluate(program *policy.Program, backend directory.BackendEntry, local bool) (uint32, bool) {
+	facts := policy.Facts{
+		Name:          backend.GetId(),
+		Zone:          backend.GetZone(),
+		MachineState:  stateLive,
+		Healthy:       true,
+		ReportAge:     longAgo,
+		UpSeconds:     longAgo,
+		Local:         local,
+		Capacity:      float64(backend.GetCapacity()),
+		WarmupSeconds: (time.Duration(backend.GetWarmupMilliseconds()) * time.Millisecond).Seconds(),
+	}
+	if backend.GetDraining() {
+		facts.MachineState = stateLeaving
+	}
+	outcome, err := program.Evaluate(facts)
+	if err != nil {
+		control.balancer.logger.Warn("Control: policy failed, zones decide.", "pool", backend.GetPool(),
+			"backend", backend.GetId(), "error", err)
+		return 0, false
+	}
+	if outcome.Leaving {
+		return 0, true
+	}
+	return uint32(math.Round(outcome.Weight * rule.MaximumWeight)), true
+}
+
+// programs keeps policies compiled.
+type programs struct {
+	compiled map[string]*compiledPolicy
+}
+
+type compiledPolicy struct {
+	policy  *apiv1.Policy
+	program *policy.Program
+}
+
+// find returns the program for a pool, or nil when the zones decide.
+func (programs *programs) find(known *directory.Directory, pool string) *policy.Program {
+	found := known.Policy(pool)
+	if found == nil {
+		found = known.Policy(defaultPolicy)
+	}
+	if found == nil {
+		return nil
+	}
+	kept := programs.compiled[found.GetName()]
+	if kept == nil || kept.policy != found {
+		program, err := policy.Compile(found)
+		if err != nil {
+			program = nil
+		}
+		kept = &compiledPolicy{policy: found, program: program}
+		programs.compiled[found.GetName()] = kept
+	}
+	return kept.program
+}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -34,6 +34,12 @@
 	MeanLoad float64
 	// UpSeconds is how long ago the back end was first seen healthy.
 	UpSeconds float64
+	// Local is set when the back end is in the zone of the balancer that asks.
+	Local bool
+	// Capacity is how many requests the back end handles at once; 0 is unknown.
+	Capacity float64
+	// WarmupSeconds is for how much longer the back end says it is slow.
+	WarmupSeconds float64
 }
 
 // Outcome is what a program says of one back end.
@@ -77,6 +83,9 @@
 		cel.Variable("mean_load", cel.DoubleType),
 		cel.Variable("report_age", cel.DoubleType),
 		cel.Variable("up_seconds", cel.DoubleType),
+		cel.Variable("local", cel.BoolType),
+		cel.Variable("capacity", cel.DoubleType),
+		cel.Variable("warmup_seconds", cel.DoubleType),
 	)
 }
 
@@ -135,6 +144,10 @@
 		"mean_load":     facts.MeanLoad,
 		"report_age":    facts.ReportAge,
 		"up_seconds":    facts.UpSeconds,
+
+		"local":          facts.Local,
+		"capacity":       facts.Capacity,
+		"warmup_seconds": facts.WarmupSeconds,
 	}
 	trust, err := evaluateNumber(program.loadTrust, values, "load_trust")
 	if err != nil {
@@ -169,7 +182,7 @@
 // Samples are the facts with which a policy is tried when it is applied: a
 // well, a loaded, a cold, a sick and a silent back end.
 func Samples() []Facts {
-	well := Facts{Name: "sample", Zone: "zone", MachineState: "live", Healthy: true, Load: 0.5, MeanLoad: 0.5, ReportAge: 1, UpSeconds: 3600}
+	well := Facts{Name: "sample", Zone: "zone", MachineState: "live", Healthy: true, Load: 0.5, MeanLoad: 0.5, ReportAge: 1, UpSeconds: 3600, Local: true, Capacity: 2}
 	loaded, cold, sick, silent := well, well, well, well
 	loaded.Load = 1
 	cold.UpSeconds, cold.Load = 1, 0
