Write a line for each request, new flow and refusal; serve metrics

The id that a client's request carries stands in its first packet; a line ties it to flow, back end, reason, version and revision. Lines go through a bounded queue to a goroutine of their own, so that an output that stalls costs lines and no packets; ordinary lines and failures have separate budgets a second, and what is left out is counted and told.

--- a/cmd/balancer/main.go
+++ b/cmd/balancer/main.go
@@ -5,17 +5,20 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/asynclog"
 	"github.com/indigobarrow/indigobarrow/internal/balancer"
 	"github.com/indigobarrow/indigobarrow/internal/settings"
 	"github.com/indigobarrow/indigobarrow/platform"
@@ -77,7 +80,9 @@
 	if err != nil {
 		return err
 	}
-	logger, level := newLogger(loaded)
+	lines := asynclog.New(os.Stdout)
+	defer lines.Close(logCloseLimit)
+	logger, level := newLogger(loaded, lines)
 	made, err := balancer.New(loaded, outside(loaded, logger), logger)
 	if err != nil {
 		return err
@@ -107,12 +112,15 @@
 	}
 }
 
-func newLogger(loaded *apiv1.BalancerSettings) (*slog.Logger, *slog.LevelVar) {
+// logCloseLimit is how long the last lines may take.
+const logCloseLimit = time.Second
+
+func newLogger(loaded *apiv1.BalancerSettings, output io.Writer) (*slog.Logger, *slog.LevelVar) {
 	level := new(slog.LevelVar)
 	_ = level.UnmarshalText([]byte(loaded.GetLogLevel()))
 	options := &slog.HandlerOptions{Level: level}
 	if loaded.GetLogFormat() == "json" {
-		return slog.New(slog.NewJSONHandler(os.Stdout, options)), level
+		return slog.New(slog.NewJSONHandler(output, options)), level
 	}
-	return slog.New(slog.NewTextHandler(os.Stdout, options)), level
+	return slog.New(slog.NewTextHandler(output, options)), level
 }
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -29,6 +29,9 @@
 	Refuse(output []byte, packet tokenroute.Packet) []byte
 	// Client is where packets for the sender of a packet go.
 	Client(packet tokenroute.Packet) netip.AddrPort
+	// RequestID returns the id of the request that a packet starts, a part of
+	// the datagram, or nil.
+	RequestID(datagram []byte) []byte
 }
 
 // Store is the store that holds what operators and back ends have written.
@@ -70,10 +73,15 @@
 	bus      *events.Bus
 	table    atomic.Pointer[tokenroute.Table]
 	stopping atomic.Bool
-	control  *control
-	traffic  *traffic
-	peers    net.Listener
-	probes   net.Listener
+	// confirmedAt is when the store confirmed what is known, in nanoseconds
+	// since the start; 0 is never.
+	confirmedAt atomic.Int64
+	storeCalls  callCounts
+	peerCalls   callCounts
+	control     *control
+	traffic     *traffic
+	peers       net.Listener
+	probes      net.Listener
 }
 
 // New opens the sockets of a balancer.
@@ -126,6 +134,7 @@
 	group.Go(func() error { return replication.Serve(ctx, balancer.peers, balancer.control) })
 	group.Go(func() error { return balancer.serveReadiness(ctx) })
 	group.Go(func() error { return balancer.announce(ctx) })
+	group.Go(func() error { return balancer.serveMetrics(ctx) })
 	return group.Wait()
 }
 
--- a/internal/balancer/calls.go
+++ b/internal/balancer/calls.go
@@ -28,6 +28,7 @@
 // the first may have missed.
 func (control *control) poll(ctx context.Context, kind replication.Poll, after uint64, now time.Time) {
 	batch, err := control.read(ctx, kind, after)
+	control.balancer.storeCalls.count(err)
 	news := &apiv1.DirectoryNews{
 		Batch:           batch,
 		AsOfNanoseconds: int64(now.Sub(control.balancer.started)),
@@ -62,6 +63,7 @@
 	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	batch, err := control.balancer.outside.Store.Routes(bounded)
+	control.balancer.storeCalls.count(err)
 	control.publish(ctx, &apiv1.DirectoryNews{Batch: batch, Check: true}, err)
 }
 
@@ -80,6 +82,7 @@
 		request.After, request.WaitMilliseconds = 0, 0
 	}
 	reply, err := control.client.Follow(ctx, peer.Address, request)
+	control.balancer.peerCalls.count(err)
 	left := sent.Add(time.Duration(reply.GetWaitedMilliseconds()) * time.Millisecond)
 	asOf := left.Add(-time.Duration(reply.GetAgeMilliseconds()) * time.Millisecond)
 	control.publish(ctx, &apiv1.DirectoryNews{
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -195,6 +195,7 @@
 	// from a peer that knows nothing itself.
 	if news.GetBatch().GetRevision() > 0 {
 		control.core.Confirm(asOf)
+		control.balancer.confirmedAt.Store(int64(control.core.ConfirmedAt().Sub(control.balancer.started)))
 	}
 }
 
--- /dev/null
+++ b/internal/balancer/metrics.go
@@ -0,0 +1,109 @@
+package balancer
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/indigobarrow/indigobarrow/internal/tokenroute"
+)
+
+// callCounts counts calls by outcome.
+type callCounts struct {
+	answered, failed atomic.Uint64
+}
+
+func (counts *callCounts) count(err error) {
+	if err != nil {
+		counts.failed.Add(1)
+		return
+	}
+	counts.answered.Add(1)
+}
+
+// collector reads the balancer's counters when the metrics are asked for.
+type collector struct {
+	balancer *Balancer
+}
+
+var (
+	packetsDescription = prometheus.NewDesc("indigobarrow_balancer_packets_total",
+		"Packets by the reason of their decision.", []string{"reason"}, nil)
+	faultyDescription = prometheus.NewDesc("indigobarrow_balancer_faulty_packets_total",
+		"Datagrams that were malformed or could not be sent.", []string{"cause"}, nil)
+	flowsDescription = prometheus.NewDesc("indigobarrow_balancer_flow_events_total",
+		"First packets sent again to another back end, and back ends that did not answer in time.", []string{"event"}, nil)
+	callsDescription = prometheus.NewDesc("indigobarrow_balancer_calls_total",
+		"Calls to the store and to peers by outcome.", []string{"to", "outcome"}, nil)
+	ageDescription = prometheus.NewDesc("indigobarrow_balancer_knowledge_age_seconds",
+		"Time since the store confirmed what is known.", nil, nil)
+	versionDescription = prometheus.NewDesc("indigobarrow_balancer_configuration_version",
+		"Version of the configuration in force.", nil, nil)
+	readyDescription = prometheus.NewDesc("indigobarrow_balancer_ready",
+		"1 while the balancer takes new flows.", nil, nil)
+)
+
+// Describe implements prometheus.Collector. It announces nothing, since what
+// is collected depends on the state of the balancer.
+func (collector *collector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect implements prometheus.Collector.
+func (collector *collector) Collect(metrics chan<- prometheus.Metric) {
+	balancer := collector.balancer
+	traffic := balancer.traffic
+	counter := func(description *prometheus.Desc, value uint64, labels ...string) {
+		metrics <- prometheus.MustNewConstMetric(description, prometheus.CounterValue, float64(value), labels...)
+	}
+	gauge := func(description *prometheus.Desc, value float64) {
+		metrics <- prometheus.MustNewConstMetric(description, prometheus.GaugeValue, value)
+	}
+	for reason := range tokenroute.ReasonCount {
+		counter(packetsDescription, traffic.counts[reason].Load(), tokenroute.Reason(reason).String())
+	}
+	counter(faultyDescription, traffic.malformed.Load(), "malformed")
+	counter(faultyDescription, traffic.failed.Load(), "not_sent")
+	counter(flowsDescription, traffic.flows.Retried.Load(), "retried")
+	counter(flowsDescription, traffic.flows.Missed.Load(), "not_answered")
+	counter(callsDescription, balancer.storeCalls.answered.Load(), "store", "answered")
+	counter(callsDescription, balancer.storeCalls.failed.Load(), "store", "failed")
+	counter(callsDescription, balancer.peerCalls.answered.Load(), "peer", "answered")
+	counter(callsDescription, balancer.peerCalls.failed.Load(), "peer", "failed")
+	if confirmed := balancer.confirmedAt.Load(); confirmed > 0 {
+		gauge(ageDescription, (time.Since(balancer.started) - time.Duration(confirmed)).Seconds())
+	}
+	if table := balancer.table.Load(); table != nil {
+		gauge(versionDescription, float64(table.Version))
+	}
+	ready := 0.0
+	if balancer.Ready() {
+		ready = 1
+	}
+	gauge(readyDescription, ready)
+}
+
+// serveMetrics serves the metrics if the settings give them an address.
+func (balancer *Balancer) serveMetrics(ctx context.Context) error {
+	address := balancer.settings.Load().GetMetricsAddress()
+	if address == "" {
+		return nil
+	}
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(&collector{balancer: balancer})
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	server := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: headerTimeout}
+	go func() {
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	err := server.ListenAndServe()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.Wrap(err, "metrics: serve")
+}
--- a/internal/balancer/traffic.go
+++ b/internal/balancer/traffic.go
@@ -14,6 +14,7 @@
 	balancer *Balancer
 	socket   *net.UDPConn
 	flows    *tokenroute.Flows
+	log      decisionLog
 	input    []byte
 	output   []byte
 	// lastPacket is when a packet last came, in nanoseconds since the start.
@@ -30,6 +31,7 @@
 		balancer: balancer,
 		socket:   socket,
 		flows:    tokenroute.NewFlows(),
+		log:      decisionLog{logger: balancer.logger},
 		input:    make([]byte, size),
 		output:   make([]byte, 0, 2*size),
 	}
@@ -65,8 +67,10 @@
 		traffic.malformed.Add(1)
 		return
 	}
-	decision := traffic.flows.Decide(traffic.balancer.table.Load(), packet, now)
+	table := traffic.balancer.table.Load()
+	decision := traffic.flows.Decide(table, packet, now)
 	traffic.counts[decision.Reason].Add(1)
+	traffic.log.note(packet, codec.RequestID(datagram), decision, table, now)
 	switch decision.Verdict {
 	case tokenroute.Forward:
 		traffic.output = codec.Forward(traffic.output[:0], datagram, decision.Backend)
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -155,6 +155,9 @@
 	return now.Sub(core.confirmedAt), true
 }
 
+// ConfirmedAt is when the store last confirmed what is known.
+func (core *Core) ConfirmedAt() time.Time { return core.confirmedAt }
+
 // Stale tells whether the knowledge is too old to rely on others for it.
 func (core *Core) Stale(now time.Time) bool {
 	age, known := core.Age(now)
--- a/internal/tokenroute/flows.go
+++ b/internal/tokenroute/flows.go
@@ -1,6 +1,7 @@
 package tokenroute
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/indigobarrow/indigobarrow/internal/flow"
@@ -66,12 +67,12 @@
 	queue             []waiting
 	silent            map[uint64]*silence
 	// Retried counts first packets that went to another back end.
-	Retried uint64
+	Retried atomic.Uint64
 	// Missed counts back ends that did not answer in time.
-	Missed uint64
+	Missed atomic.Uint64
 	// Kept counts packets sent to the back end that opened their flow although
 	// their token named another.
-	Kept uint64
+	Kept atomic.Uint64
 }
 
 // NewFlows makes an empty memory.
@@ -118,7 +119,7 @@
 			flows.current[key] = known
 		}
 	} else {
-		flows.Retried++
+		flows.Retried.Add(1)
 	}
 	known.tried[known.count] = chosen
 	known.count++
@@ -146,7 +147,7 @@
 	if known.opened == nil || known.opened.Number == named.Number {
 		return named
 	}
-	flows.Kept++
+	flows.Kept.Add(1)
 	return known.opened
 }
 
@@ -171,7 +172,7 @@
 	if due.opening.opened != nil {
 		return
 	}
-	flows.Missed++
+	flows.Missed.Add(1)
 	state := flows.silent[due.backend.Number]
 	if state == nil {
 		state = &silence{}
