Take the pace of reading, the life of flows and the time for a stop from the settings

Other deployments may give changes less time than 3 s: the store is read three times in the shorter of the two bounds. A planned stop ends within 0.4 of the platform's grace.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -153,8 +153,14 @@
 	return errors.Wrap(err, "readiness: serve")
 }
 
-// stopQuiet is how long no packet must have come before a planned stop ends.
-const stopQuiet = 600 * time.Millisecond
+const (
+	// stopQuiet is how long no packet must have come before a planned stop
+	// ends.
+	stopQuiet = 600 * time.Millisecond
+	// stopShare is the part of the time for a stop after which it ends in any
+	// case; what remains is for the end itself.
+	stopShare = 0.4
+)
 
 // Stop tells the routers to send elsewhere and returns when they do, or when
 // the limit of the settings has passed. Packets are forwarded meanwhile.
@@ -162,7 +168,7 @@
 	balancer.logger.Info("Stopping as planned.")
 	balancer.stopping.Store(true)
 	began := time.Now()
-	limit := time.Duration(balancer.settings.Load().GetStopMilliseconds()) * time.Millisecond
+	limit := seconds(stopShare * balancer.settings.Load().GetStopSeconds())
 	ticker := time.NewTicker(stopQuiet / 4)
 	defer ticker.Stop()
 	for time.Since(began) < limit {
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -60,7 +60,7 @@
 
 func newControl(balancer *Balancer, chance *rand.Rand) *control {
 	settings := balancer.settings.Load()
-	retention := time.Duration(settings.GetFlowMilliseconds()) * time.Millisecond
+	retention := seconds(settings.GetFlowSeconds())
 	made := &control{
 		balancer: balancer,
 		known:    directory.New(retention),
@@ -243,7 +243,12 @@
 }
 
 func (control *control) flowLife() time.Duration {
-	return time.Duration(control.balancer.settings.Load().GetFlowMilliseconds()) * time.Millisecond
+	return seconds(control.balancer.settings.Load().GetFlowSeconds())
+}
+
+// seconds turns a number of seconds into a duration.
+func seconds(number float64) time.Duration {
+	return time.Duration(number * float64(time.Second))
 }
 
 // scheduleTurn sets when the table changes without news: new flows return to
--- a/internal/settings/balancer.go
+++ b/internal/settings/balancer.go
@@ -1,21 +1,25 @@
 package settings
 
 import (
+	"fmt"
+	"strconv"
+
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 )
 
 // BalancerDefaults are the settings of a balancer that sets nothing.
 func BalancerDefaults() *apiv1.BalancerSettings {
 	return &apiv1.BalancerSettings{
-		DataAddress:       "127.0.0.1:6080",
-		ReadinessAddress:  "127.0.0.1:6081",
-		PeerAddress:       "127.0.0.1:6090",
-		LogLevel:          "info",
-		LogFormat:         "text",
-		PollMilliseconds:  1000,
-		StaleMilliseconds: 1400,
-		FlowMilliseconds:  60_000,
-		StopMilliseconds:  2500,
+		DataAddress:      "127.0.0.1:6080",
+		ReadinessAddress: "127.0.0.1:6081",
+		PeerAddress:      "127.0.0.1:6090",
+		LogLevel:         "info",
+		LogFormat:        "text",
+		FlowSeconds:      60,
+		StopSeconds:      6,
+
+		ConfigurationMilliseconds: 3000,
+		DrainMilliseconds:         3000,
 	}
 }
 
@@ -49,9 +53,41 @@
 	}
 	checker.oneOf("log_level", loaded.GetLogLevel(), "debug", "info", "warn", "error")
 	checker.oneOf("log_format", loaded.GetLogFormat(), "text", "json")
+	checker.number("flow_seconds", loaded.GetFlowSeconds(), 1, 86_400)
+	checker.number("stop_seconds", loaded.GetStopSeconds(), 0, 600)
+	checker.number("configuration_milliseconds", loaded.GetConfigurationMilliseconds(), 300, 600_000)
+	checker.number("drain_milliseconds", loaded.GetDrainMilliseconds(), 300, 600_000)
+	derivePace(loaded)
 	checker.between("poll_milliseconds", loaded.GetPollMilliseconds(), 100, 60_000)
 	checker.between("stale_milliseconds", loaded.GetStaleMilliseconds(), loaded.GetPollMilliseconds(), 120_000)
-	checker.between("flow_milliseconds", loaded.GetFlowMilliseconds(), 1000, 86_400_000)
-	checker.between("stop_milliseconds", loaded.GetStopMilliseconds(), 0, 60_000)
 	return checker.faults
 }
+
+const (
+	// pollsInTime is how many reads of the store fit into the time that a
+	// change may take, so that one may fail.
+	pollsInTime = 3
+	// stalePolls is the age, in reads, beyond which knowledge is stale.
+	stalePolls = 1.4
+	// slowestPoll is the pace where changes have much time.
+	slowestPoll = 2000
+)
+
+// derivePace fills the pace of reading where the settings leave it open.
+func derivePace(loaded *apiv1.BalancerSettings) {
+	if loaded.GetPollMilliseconds() == 0 {
+		inForce := min(loaded.GetConfigurationMilliseconds(), loaded.GetDrainMilliseconds())
+		loaded.PollMilliseconds = uint32(min(inForce/pollsInTime, slowestPoll))
+	}
+	if loaded.GetStaleMilliseconds() == 0 {
+		loaded.StaleMilliseconds = uint32(float64(loaded.GetPollMilliseconds()) * stalePolls)
+	}
+}
+
+// number checks a field that may be a fraction.
+func (checker *checker) number(field string, value, low, high float64) {
+	if value < low || value > high {
+		checker.fault(field, strconv.FormatFloat(value, 'g', -1, 64), "is out of range",
+			fmt.Sprintf("set it between %g and %g", low, high))
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"strconv"
@@ -171,6 +172,13 @@
 			return Faults{{Line: line, Field: name, Value: value, Message: "is not true or false", Remedy: "write true or false"}}
 		}
 		message.Set(field, protoreflect.ValueOfBool(parsed))
+	case field.Kind() == protoreflect.DoubleKind:
+		parsed, err := strconv.ParseFloat(value, 64)
+		if err != nil || math.IsNaN(parsed) || parsed < 0 {
+			return Faults{{Line: line, Field: name, Value: value, Message: "is not a number of 0 or more",
+				Remedy: "write a number like 3 or 2.5"}}
+		}
+		message.Set(field, protoreflect.ValueOfFloat64(parsed))
 	default:
 		parsed, err := strconv.ParseUint(value, 10, 32)
 		if err != nil {
