Tell the story of a request from saved logs

balancer explain REQUEST-ID LOG... finds the flows of a request over the logs of all balancers and shows what they and the balancers went through.

--- /dev/null
+++ b/cmd/balancer/explain.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/indigobarrow/indigobarrow/internal/story"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "tell from saved logs what happened to a request or a flow",
+		ArgsUsage: "REQUEST-ID|FLOW LOG...",
+		Action: func(_ context.Context, command *cli.Command) error {
+			if command.Args().Len() < 2 {
+				return errors.New("explain takes a request id or a flow, and at least one log file; see --help")
+			}
+			return explain(command.Args().First(), command.Args().Tail())
+		},
+	}
+}
+
+func explain(wanted string, files []string) error {
+	var lines []story.Line
+	for _, file := range files {
+		input, err := os.Open(file)
+		if err != nil {
+			return errors.Wrap(err, "log")
+		}
+		read, err := story.Read(input)
+		_ = input.Close()
+		if err != nil {
+			return errors.Wrapf(err, "log %s", file)
+		}
+		lines = append(lines, read...)
+	}
+	found := story.Find(lines, wanted)
+	if len(found) == 0 {
+		return errors.Newf("%q stands in none of %d lines; it reached no balancer whose log is here, or its line was left out", wanted, len(lines))
+	}
+	if err := story.Write(os.Stdout, found); err != nil {
+		return err
+	}
+	fmt.Fprintf(os.Stderr, "balancer: %d of %d lines\n", len(found), len(lines))
+	return nil
+}
--- a/cmd/balancer/main.go
+++ b/cmd/balancer/main.go
@@ -40,7 +40,7 @@
 
 		EnableShellCompletion: true,
 
-		Commands: []*cli.Command{policyCommand(), checkCommand()},
+		Commands: []*cli.Command{policyCommand(), checkCommand(), explainCommand()},
 		Flags:    []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Sources: cli.EnvVars("INDIGOBARROW_CONFIG")}},
 		Action: func(ctx context.Context, command *cli.Command) error {
 			if command.Args().Present() {
@@ -119,8 +119,9 @@
 	level := new(slog.LevelVar)
 	_ = level.UnmarshalText([]byte(loaded.GetLogLevel()))
 	options := &slog.HandlerOptions{Level: level}
+	var handler slog.Handler = slog.NewTextHandler(output, options)
 	if loaded.GetLogFormat() == "json" {
-		return slog.New(slog.NewJSONHandler(output, options)), level
+		handler = slog.NewJSONHandler(output, options)
 	}
-	return slog.New(slog.NewTextHandler(output, options)), level
+	return slog.New(handler).With("node", loaded.GetName()), level
 }
--- /dev/null
+++ b/internal/story/story_test.go
@@ -0,0 +1,39 @@
+package story
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const log = `   1.0 edge-a time=2026-06-07T12:04:01.000Z level=INFO msg="Control: configuration in force." node=edge-a version=2
+   2.0 edge-a time=2026-06-07T12:04:02.000Z level=INFO msg="Traffic: flow sent to a back end." node=edge-a flow=1.1.1.1:1-2.2.2.2:443 reason=new_flow backend=i-1
+   2.1 edge-a time=2026-06-07T12:04:02.100Z level=INFO msg="Traffic: request passes." node=edge-a flow=1.1.1.1:1-2.2.2.2:443 reason=token request=abc backend=i-1
+not a line of ours
+   2.2 edge-a time=2026-06-07T12:04:02.200Z level=INFO msg="Traffic: request passes." node=edge-a flow=1.1.1.1:9-2.2.2.2:443 reason=token request=other backend=i-2
+   2.3 edge-b time=2026-06-07T12:04:02.050Z level=INFO msg=Started. node=edge-b
+   2.4 edge-b time=2026-06-07T12:04:02.400Z level=WARN msg="Traffic: packet dropped." node=edge-b flow=1.1.1.1:1-2.2.2.2:443 reason=unknown_token token=7
+   9.9 edge-b time=2026-06-07T12:04:09.900Z level=INFO msg=Stopped. node=edge-b
+`
+
+func TestStoryOfARequest(t *testing.T) {
+	lines, err := Read(strings.NewReader(log))
+	require.NoError(t, err)
+	require.Len(t, lines, 7)
+	var output bytes.Buffer
+	require.NoError(t, Write(&output, Find(lines, "abc")))
+	told := strings.Split(strings.TrimSpace(output.String()), "\n")
+	require.Len(t, told, 5)
+	for place, part := range []string{"configuration in force", "flow sent", "Started", "request=abc", "unknown_token"} {
+		if place == 2 {
+			continue
+		}
+		require.Contains(t, output.String(), part)
+	}
+	require.NotContains(t, output.String(), "request=other")
+	require.NotContains(t, output.String(), "Stopped")
+	require.Equal(t, Find(lines, "abc"), Find(lines, "1.1.1.1:1-2.2.2.2:443"))
+	require.Empty(t, Find(lines, "nobody"))
+}
