Specify the directory in Spin; four guards, each caught when removed

Without the rule for late answers, for revisions inside of a rise, for older entries, or for tombstones in a complete batch, a violation is found (the four mends of the property test).

--- a/model/check.sh
+++ b/model/check.sh
@@ -57,5 +57,8 @@
 holds fence
 caught fence NO_STOP NO_HOLD_BACK NO_FENCE_KNOWN
 
+holds directory
+caught directory NO_LATE NO_BETWEEN NO_COMPARE NO_TOMBSTONE_RULE
+
 if [ "$failures" != 0 ]; then echo "model check: $failures failed"; exit 1; fi
 echo "model check: all hold, all mutants caught"
