Serve nobody on a part of the store

Cause: the first page of a large store holds the routes and some of the back ends, and the table was built from it. A table now needs whole knowledge.

--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -223,6 +223,10 @@
 func (control *control) renewTable(now time.Time) {
 	control.rebuild = false
 	control.nextTurn = time.Time{}
+	if control.known.Revision() == 0 {
+		// A part of the store is no ground to refuse flows on.
+		return
+	}
 	control.rememberPools(now)
 	table := tokenroute.NewTable(control.known, tokenroute.Options{
 		Weigh:      control.weigher(now),
