--- a/internal/balancer/control_test.go
+++ b/internal/balancer/control_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -112,13 +113,34 @@
 	control := newTestControl()
 	now := time.Now()
 	control.firstAt = now
-	remote := directory.BackendEntry{PoolBackend: &apiv1.PoolBackend{Zone: "giza"}}
-	local := directory.BackendEntry{PoolBackend: &apiv1.PoolBackend{Zone: "maadi"}}
+	remote := directory.BackendEntry{PoolBackend: &apiv1.PoolBackend{Pool: "lending", Zone: "giza"}}
+	local := directory.BackendEntry{PoolBackend: &apiv1.PoolBackend{Pool: "lending", Zone: "maadi"}}
+	control.addBackends("lending", "maadi", localEnough, now)
 	require.Equal(t, uint32(rule.MaximumWeight), control.weigher(now)(remote))
 	require.Equal(t, uint32(remoteWeight), control.weigher(now.Add(spreadTime))(remote))
 	require.Equal(t, uint32(rule.MaximumWeight), control.weigher(now.Add(spreadTime))(local))
 }
 
+func (control *control) addBackends(pool, zone string, count int, now time.Time) {
+	batch := &apiv1.DirectoryBatch{Revision: 1}
+	for place := range count {
+		batch.Changes = append(batch.Changes, &apiv1.DirectoryChange{Revision: 1,
+			Entry: &apiv1.DirectoryChange_Backend{Backend: &apiv1.PoolBackend{
+				Id: fmt.Sprintf("%s-%d", pool, place), Pool: pool, Zone: zone, Address: 1, Port: 80}}})
+	}
+	control.known.Apply(batch, now)
+}
+
+// With one back end in the zone, every retry would meet it again after it died.
+func TestFewBackendsInTheZoneShareWithTheOthers(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	control.firstAt = now.Add(-time.Hour)
+	control.addBackends("covers", "maadi", localEnough-1, now)
+	remote := directory.BackendEntry{PoolBackend: &apiv1.PoolBackend{Pool: "covers", Zone: "giza"}}
+	require.Equal(t, uint32(rule.MaximumWeight), control.weigher(now)(remote))
+}
+
 // The table turns back to its zone without news, and open flows keep the pools
 // that their route had for the life of a flow.
 func TestTableTurnsWithoutNews(t *testing.T) {
--- a/internal/balancer/weigh.go
+++ b/internal/balancer/weigh.go
@@ -14,6 +14,9 @@
 	// remoteWeight leaves the back ends of other zones a share that only
 	// counts when those of this zone are avoided or gone.
 	remoteWeight = 5
+	// localEnough is how many back ends of a pool a zone must have to keep its
+	// new flows. With fewer, one that dies is met again by each retry.
+	localEnough = 3
 	// spreadTime is for how long a balancer that has just learned of its back
 	// ends spreads new flows over all zones. After an outage all clients come
 	// back at once, and the zones together take more than each alone.
@@ -36,6 +39,7 @@
 func (control *control) weigher(now time.Time) func(directory.BackendEntry) uint32 {
 	zone := control.balancer.settings.Load().GetZone()
 	spread := now.Sub(control.firstAt) < spreadTime
+	ready := control.readyInZone(zone)
 	return func(backend directory.BackendEntry) uint32 {
 		local := backend.GetZone() == zone
 		if program := control.programs.find(control.known, backend.GetPool()); program != nil {
@@ -43,13 +47,24 @@
 				return weight
 			}
 		}
-		if spread || local {
+		if spread || local || ready[backend.GetPool()] < localEnough {
 			return rule.MaximumWeight
 		}
 		return remoteWeight
 	}
 }
 
+// readyInZone counts the back ends of a zone that may take new flows, by pool.
+func (control *control) readyInZone(zone string) map[string]int {
+	ready := make(map[string]int)
+	for _, backend := range control.known.Backends() {
+		if backend.GetZone() == zone && !backend.Gone && !backend.GetDraining() {
+			ready[backend.GetPool()]++
+		}
+	}
+	return ready
+}
+
 func (control *control) evaluate(program *policy.Program, backend directory.BackendEntry, local bool) (uint32, bool) {
 	facts := policy.Facts{
 		Name:          backend.GetId(),
