--- a/internal/tokenroute/tokenroute_test.go
+++ b/internal/tokenroute/tokenroute_test.go
@@ -269,3 +269,24 @@
 		flows.Decide(table, first(port), start)
 	}
 }
+
+// BenchmarkNewTable is the cost of a table, by back ends in pools of six.
+func BenchmarkNewTable(b *testing.B) {
+	for _, size := range []int{1_000, 10_000, 140_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			var changes []*apiv1.DirectoryChange
+			var table []*apiv1.ServiceRoute
+			for number := range size {
+				pool := fmt.Sprintf("pool-%d", number/6)
+				if number%6 == 0 {
+					table = append(table, route(uint32(number+1), share(pool, 1)))
+				}
+				changes = append(changes, backend(uint64(number+2), uint64(number+1), pool))
+			}
+			all := known(append(changes, routes(1, table...))...)
+			for b.Loop() {
+				NewTable(all, options())
+			}
+		})
+	}
+}
