Mend what a new user stumbles on: config check FILE, flag order, hints, two demos

- indigobarrow config check takes the file as an argument and refuses what it does not read; so does node
- an unknown field is only told of a name that is near

--- a/cmd/indigobarrow/node.go
+++ b/cmd/indigobarrow/node.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,8 +37,8 @@
 
 func nodeFlags() []cli.Flag {
 	flags := []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "settings file"}}
-	for flag, field := range settingsFlags {
-		flags = append(flags, &cli.StringFlag{Name: flag, Usage: "sets " + field + " over the file"})
+	for _, flag := range slices.Sorted(maps.Keys(settingsFlags)) {
+		flags = append(flags, &cli.StringFlag{Name: flag, Usage: "sets " + settingsFlags[flag] + " over the file"})
 	}
 	return flags
 }
@@ -75,6 +77,9 @@
 // runNode serves until SIGTERM, which is a planned stop: the node announces
 // it, hands over its flows and ends. A second SIGTERM ends it at once.
 func runNode(ctx context.Context, command *cli.Command) error {
+	if command.Args().Present() {
+		return errors.Newf("node takes no argument %q; give the settings file with --settings", command.Args().First())
+	}
 	loaded, err := loadSettings(command)
 	if err != nil {
 		return err
@@ -96,15 +101,35 @@
 	return made.Run(running)
 }
 
+// takeSettingsArgument takes the settings file from the arguments, where one is
+// given there, and refuses any other argument.
+func takeSettingsArgument(command *cli.Command) error {
+	switch arguments := command.Args(); {
+	case arguments.Len() == 0:
+		return nil
+	case arguments.Len() > 1:
+		return errors.Newf("config check takes one FILE, not %d arguments; see --help", arguments.Len())
+	case command.IsSet("settings"):
+		return errors.Newf("FILE %q and --settings %q name two files; give one of them",
+			arguments.First(), command.String("settings"))
+	default:
+		return command.Set("settings", arguments.First())
+	}
+}
+
 func configCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "config",
 		Usage: "settings of a node",
 		Commands: []*cli.Command{{
-			Name:  "check",
-			Usage: "check a settings file without starting",
-			Flags: nodeFlags(),
+			Name:      "check",
+			Usage:     "check a settings FILE, or the one of --settings, without starting",
+			ArgsUsage: "[FILE]",
+			Flags:     nodeFlags(),
 			Action: func(_ context.Context, command *cli.Command) error {
+				if err := takeSettingsArgument(command); err != nil {
+					return err
+				}
 				loaded, err := loadSettings(command)
 				if err != nil {
 					return errors.Wrapf(err, "settings %s", command.String("settings"))
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -60,6 +60,8 @@
 	backends []*backend.Backend
 	callers  []*caller.Caller
 	numbers  int
+	// network is the second number of the loopback addresses.
+	network int
 }
 
 // Run runs the demonstration and prints to out.
@@ -101,7 +103,35 @@
 	return listener.Addr().String(), nil
 }
 
-const fabricAddress = "127.90.0.1:6081"
+// The demonstration takes the first of these loopback networks, 127.N.0.0, that
+// no other one has, and the two after it for its back ends and callers.
+const (
+	firstNetwork = 90
+	lastNetwork  = 117
+	// networksOfOne are for balancers, back ends and callers.
+	networksOfOne = 3
+)
+
+// takeNetwork starts the fabric on the first free network.
+func (demo *demo) takeNetwork() error {
+	var err error
+	for demo.network = firstNetwork; demo.network <= lastNetwork; demo.network += networksOfOne {
+		if demo.fabric, err = fabric.New(demo.fabricAddress()); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func (demo *demo) fabricAddress() string { return fmt.Sprintf("127.%d.0.1:6081", demo.network) }
+
+func (demo *demo) nodeAddress(number, port int) string {
+	return fmt.Sprintf("127.%d.1.%d:%d", demo.network, number, port)
+}
+
+func (demo *demo) tunnelAddress(net, number int) string {
+	return fmt.Sprintf("127.%d.%d.%d:6080", demo.network+1, net, number)
+}
 
 func (demo *demo) startPlatform() error {
 	var err error
@@ -112,7 +142,7 @@
 	if demo.machines, err = demo.serve(demo.list.Handler()); err != nil {
 		return err
 	}
-	if demo.fabric, err = fabric.New(fabricAddress); err != nil {
+	if err := demo.takeNetwork(); err != nil {
 		return err
 	}
 	go demo.fabric.Run(demo.ctx)
@@ -124,9 +154,9 @@
 	id := fmt.Sprintf("%s-%d", zone, demo.numbers)
 	chosen := settings.Defaults()
 	chosen.Id, chosen.Zone, chosen.Group = id, zone, "demo"
-	chosen.DataAddress = fmt.Sprintf("127.90.1.%d:6080", demo.numbers)
-	chosen.PeerAddress = fmt.Sprintf("127.90.1.%d:6090", demo.numbers)
-	chosen.AdminAddress = fmt.Sprintf("127.90.1.%d:6070", demo.numbers)
+	chosen.DataAddress = demo.nodeAddress(demo.numbers, 6080)
+	chosen.PeerAddress = demo.nodeAddress(demo.numbers, 6090)
+	chosen.AdminAddress = demo.nodeAddress(demo.numbers, 6070)
 	chosen.StoreAddress, chosen.MachinesAddress = demo.store, demo.machines
 	for other, running := range demo.nodes {
 		chosen.Seeds = append(chosen.Seeds, other+"@"+peerOf(running.data))
@@ -189,7 +219,7 @@
 		made, err := backend.New(backend.Settings{
 			Name: fmt.Sprintf("%s-%d", name, number), Service: name,
 			Address: netip.MustParseAddrPort(address + ":80"),
-			Tunnel:  fmt.Sprintf("127.91.%d.%d:6080", net, number+1),
+			Tunnel:  demo.tunnelAddress(net, number+1),
 			Slots:   2, Queue: 64, Connections: 2000, WorkTime: time.Millisecond,
 		})
 		if err != nil {
@@ -203,7 +233,7 @@
 		demo.backends = append(demo.backends, made)
 		service.Backends = append(service.Backends, &apiv1.Backend{
 			Name: fmt.Sprintf("%s-%d", name, number), Zone: zones[number%len(zones)],
-			TunnelAddress: fmt.Sprintf("127.91.%d.%d:6080", net, number+1), ReportAddress: report, Slots: 2})
+			TunnelAddress: demo.tunnelAddress(net, number+1), ReportAddress: report, Slots: 2})
 	}
 	return service, nil
 }
@@ -239,8 +269,8 @@
 		for index, service := range services {
 			made, err := caller.New(caller.Settings{
 				Name:   fmt.Sprintf("%s-%s", zones[number], service.name),
-				Inner:  netip.AddrFrom4([4]byte{10, 92, byte(number), byte(index + 1)}),
-				Fabric: fabricAddress, Service: service.name,
+				Inner:  netip.AddrFrom4([4]byte{10, byte(demo.network + 2), byte(number), byte(index + 1)}),
+				Fabric: demo.fabricAddress(), Service: service.name,
 				Target:      netip.MustParseAddrPort(service.address + ":80"),
 				Connections: 60, Requests: 40, Interval: 200 * time.Millisecond, OnceShare: 5,
 			})
--- a/internal/settings/balancer_test.go
+++ b/internal/settings/balancer_test.go
@@ -61,3 +61,9 @@
 		require.NotContains(t, fault.Message, "no such field", fault.String())
 	}
 }
+
+func TestOnlyNearFieldsAreProposed(t *testing.T) {
+	_, err := LoadBalancer(writeSettings(t, goodBalancer+"nonsense: 1\nlog_levle: info\n"), nil)
+	require.ErrorContains(t, err, `nonsense = "1": there is no such field; remove it`)
+	require.ErrorContains(t, err, "did you mean log_level?")
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -152,7 +152,7 @@
 	field := fieldOf(loaded, name)
 	if field == nil {
 		return Faults{{Line: line, Field: name, Value: value, Message: "there is no such field",
-			Remedy: "did you mean " + nearestField(loaded, name) + "?"}}
+			Remedy: remedyForUnknown(loaded, name)}}
 	}
 	message := loaded.ProtoReflect()
 	switch {
@@ -190,6 +190,19 @@
 	return nil
 }
 
+// nearDistance is how many letters of a field's name may be wrong for it to be
+// proposed: a third of them.
+const nearDistance = 3
+
+// remedyForUnknown proposes a field whose name is near, else tells to remove it.
+func remedyForUnknown(loaded proto.Message, name string) string {
+	nearest := nearestField(loaded, name)
+	if editDistance(name, nearest)*nearDistance > len(nearest) {
+		return "remove it"
+	}
+	return "did you mean " + nearest + "?"
+}
+
 func nearestField(loaded proto.Message, name string) string {
 	fields := loaded.ProtoReflect().Descriptor().Fields()
 	best, bestDistance := "", 1<<30
