Bound the grace of vanished back ends by the time for leaving ones

The grace is now a third of that time. Red before: TestGraceForVanishedBackendsStaysWithinTheDrainTime.

--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -18,9 +18,11 @@
 const (
 	// tickInterval is how often timers of the control state are looked at.
 	tickInterval = 50 * time.Millisecond
-	// lapseGrace is for how long back ends that vanished together, without a
-	// notice, may still take new flows.
-	lapseGrace = 1500 * time.Millisecond
+	// lapseShare is the part of the time for a leaving back end to be in force
+	// for which back ends that vanished together, without a notice, may still
+	// take new flows. With the age that knowledge may have, it stays within
+	// that time.
+	lapseShare = 3
 	// peerPause is for how long a peer that failed is passed over.
 	peerPause = 2 * time.Second
 	// storeBackoffLimit is the longest pause between calls to a store that
@@ -232,7 +234,7 @@
 		Weigh:      control.weigher(now),
 		Former:     control.formerPools(now),
 		AdmitAll:   now.Sub(control.firstAt) < control.flowLife(),
-		LapseGrace: lapseGrace,
+		LapseGrace: control.lapseGrace(),
 		Now:        now,
 	})
 	if table == nil {
@@ -246,6 +248,11 @@
 	}
 }
 
+func (control *control) lapseGrace() time.Duration {
+	drain := control.balancer.settings.Load().GetDrainMilliseconds()
+	return time.Duration(drain/lapseShare) * time.Millisecond
+}
+
 func (control *control) flowLife() time.Duration {
 	return seconds(control.balancer.settings.Load().GetFlowSeconds())
 }
@@ -262,7 +269,7 @@
 		control.nextTurn = spreadEnd
 	}
 	for _, backend := range control.known.Backends() {
-		end := backend.GoneAt.Add(lapseGrace)
+		end := backend.GoneAt.Add(control.lapseGrace())
 		if !backend.Gone || !now.Before(end) {
 			continue
 		}
--- a/internal/balancer/control_test.go
+++ b/internal/balancer/control_test.go
@@ -154,6 +154,19 @@
 	require.True(t, control.nextTurn.IsZero())
 }
 
+// A back end that vanished gets no new flow later than the time for a leaving
+// one, counted from the removal: knowledge may be stale by one limit and one
+// read of the store, and the grace comes on top.
+func TestGraceForVanishedBackendsStaysWithinTheDrainTime(t *testing.T) {
+	control := newTestControl()
+	loaded, err := settings.LoadBalancer("", map[string]string{"name": "n", "zone": "z", "store_address": "127.0.0.1:1"})
+	require.NoError(t, err)
+	control.balancer.settings.Store(loaded)
+	stale := time.Duration(loaded.GetStaleMilliseconds()) * time.Millisecond
+	const readTime = 300 * time.Millisecond
+	require.Less(t, stale+tickInterval+readTime+control.lapseGrace(), time.Duration(loaded.GetDrainMilliseconds())*time.Millisecond)
+}
+
 func TestReloadTakesAllOrNothing(t *testing.T) {
 	control := newTestControl()
 	balancer := control.balancer
