--- a/Makefile
+++ b/Makefile
@@ -37,10 +37,13 @@
 	INDIGOBARROW_LONG=1 $(GO) test -count=1 -timeout 60m ./internal/lab/ ./internal/core/ -rapid.checks=400
 
 bench:
-	$(GO) test -run '^$$' -bench . -benchmem ./internal/rule/ ./internal/router/ ./internal/flowtable/ ./internal/frame/ ./internal/dataplane/ ./internal/explain/
+	$(GO) test -run '^$$' -bench . -benchmem ./internal/rule/ ./internal/router/ ./internal/flowtable/ ./internal/frame/ ./internal/dataplane/ ./internal/explain/ ./internal/tokenroute/ ./internal/directory/ ./platform/
 
 fuzz:
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 60s ./internal/frame/
+	$(GO) test -run "^$$" -fuzz FuzzDecode -fuzztime 30s ./platform/
+	$(GO) test -run "^$$" -fuzz FuzzDocuments -fuzztime 30s ./platform/
+	$(GO) test -run "^$$" -fuzz FuzzBalancerSettings -fuzztime 30s ./internal/settings/
 
 # lab runs the failure scenarios at both users' sizes.
 lab: build
--- a/internal/settings/balancer_test.go
+++ b/internal/settings/balancer_test.go
@@ -67,3 +67,15 @@
 	require.ErrorContains(t, err, `nonsense = "1": there is no such field; remove it`)
 	require.ErrorContains(t, err, "did you mean log_level?")
 }
+
+func FuzzBalancerSettings(f *testing.F) {
+	f.Add(goodBalancer)
+	f.Add("flow_seconds: 1e308\nseeds: [a, b]\n")
+	f.Fuzz(func(t *testing.T, content string) {
+		loaded, err := LoadBalancer(writeSettings(t, content), nil)
+		if err == nil {
+			require.NotEmpty(t, loaded.GetName())
+			require.Positive(t, loaded.GetPollMilliseconds())
+		}
+	})
+}
