--- a/test/e2e/balancer_test.go
+++ b/test/e2e/balancer_test.go
@@ -137,6 +137,11 @@
 }
 
 func (site *site) startBalancer(zone string) *process {
+	return site.startBalancerAt(zone, site.ip(0, 1)+":8169")
+}
+
+// startBalancerAt starts a balancer that calls the store at an address.
+func (site *site) startBalancerAt(zone, store string) *process {
 	site.started++
 	name := fmt.Sprintf("edge-%s-%d", zone, site.started)
 	host := site.ip(1, site.started)
@@ -144,8 +149,8 @@
 	if len(site.seeds) < 3 {
 		site.seeds = append(site.seeds, peer)
 	}
-	content := fmt.Sprintf("name: %s\nzone: %s\ndata_address: %s:%d\nreadiness_address: %s:8167\npeer_address: %s\nstore_address: %s:8169\nseeds: %s\nlog_level: debug\n",
-		name, zone, host, clientPort, host, peer, site.ip(0, 1), strings.Join(site.seeds, ","))
+	content := fmt.Sprintf("name: %s\nzone: %s\ndata_address: %s:%d\nreadiness_address: %s:8167\npeer_address: %s\nstore_address: %s\nseeds: %s\nlog_level: debug\n",
+		name, zone, host, clientPort, host, peer, store, strings.Join(site.seeds, ","))
 	path := filepath.Join(site.dir, name+".yaml")
 	require.NoError(site.t, os.WriteFile(path, []byte(content), 0o600))
 	started := site.start(name, "balancer", "--settings", path)
@@ -353,3 +358,36 @@
 	site.waitIn(3)
 	site.requireKept(flows, servers)
 }
+
+// The store refuses, throttles or never answers some balancers while it serves
+// another one: those learn from it, whoever should have read for all.
+func TestBalancersThatTheStoreRefuses(t *testing.T) {
+	t.Parallel()
+	site := newSite(t, 8)
+	refusals := []http.HandlerFunc{
+		func(response http.ResponseWriter, _ *http.Request) { response.WriteHeader(http.StatusTooManyRequests) },
+		func(response http.ResponseWriter, _ *http.Request) {
+			response.WriteHeader(http.StatusServiceUnavailable)
+		},
+		func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() },
+	}
+	site.configure(lendingRoute, coversRoute)
+	site.startBackend("i-a0", "lending", zones[0], 1)
+	site.startBackend("i-c0", "covers", zones[1], 2)
+	site.startBalancer(zones[0])
+	for place, refusal := range refusals {
+		address := fmt.Sprintf("%s:%d", site.ip(0, 2), 8170+place)
+		server := &http.Server{Addr: address, Handler: refusal, ReadHeaderTimeout: time.Second}
+		go func() { _ = server.ListenAndServe() }()
+		t.Cleanup(func() { _ = server.Close() })
+		site.startBalancerAt(zones[place], address)
+	}
+	site.waitIn(4)
+	site.open(site.target("198.18.0.1", 443), 20)
+	site.configure("r-lending 198.18.0.1 443 covers", coversRoute)
+	time.Sleep(3 * time.Second)
+	_, moved := site.open(site.target("198.18.0.1", 443), 40)
+	for _, server := range moved {
+		require.True(t, strings.HasPrefix(server, "covers/"), server)
+	}
+}
