--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -135,7 +135,7 @@
 	}
 	known := directory.entries[key]
 	if late && !change.GetGone() && (known == nil || known.change.GetGone()) {
-		return false
+		return known == nil && directory.addTombstone(key, change, now)
 	}
 	if known == nil {
 		made := &entry{change: change, seen: !change.GetGone()}
@@ -173,6 +173,17 @@
 	return !wasGone
 }
 
+// addTombstone keeps what an entry held that is gone by now, so that its open
+// flows still find it.
+func (directory *Directory) addTombstone(key Key, change *apiv1.DirectoryChange, now time.Time) bool {
+	buried := proto.CloneOf(change)
+	buried.Revision = directory.revision
+	buried.Gone = true
+	directory.entries[key] = &entry{change: buried, goneAt: now}
+	directory.log.add(buried.GetRevision(), key)
+	return true
+}
+
 func sameContent(known, offered *apiv1.DirectoryChange) bool {
 	compared := &apiv1.DirectoryChange{Revision: known.GetRevision(), Entry: offered.GetEntry()}
 	return proto.Equal(known, compared)
