Reset idle flows of a dead back end with the verdict

Ruled out: a sooner verdict. A back end that has just started and holds two long requests may answer nobody for more than 200 ms, so one repetition is too little (the property test fails with it).

Change: Liveness remembers the flows that passed within 3 to 6 s with what their client acknowledged last, and with the verdict hands them out to be reset. Their next request then opens a flow to a living back end.

Test, red without the change: TestVerdictAbandonsTheFlowsThatPassedLately.

--- a/internal/balancer/traffic.go
+++ b/internal/balancer/traffic.go
@@ -69,8 +69,18 @@
 	}
 	table := traffic.balancer.table.Load()
 	decision := traffic.flows.Decide(table, packet, now)
-	traffic.counts[decision.Reason].Add(1)
 	traffic.log.note(packet, codec.RequestID(datagram), decision, table, now)
+	traffic.carryOut(decision, packet, datagram)
+	for _, abandoned := range traffic.flows.TakeAbandoned() {
+		traffic.reset(abandoned, table, now)
+	}
+}
+
+// carryOut does what was decided on a packet.
+func (traffic *traffic) carryOut(decision tokenroute.Decision, packet tokenroute.Packet, datagram []byte) {
+	traffic.counts[decision.Reason].Add(1)
+	codec := traffic.balancer.outside.Codec
+	var err error
 	switch decision.Verdict {
 	case tokenroute.Forward:
 		traffic.output = codec.Forward(traffic.output[:0], datagram, decision.Backend)
@@ -85,6 +95,18 @@
 	}
 }
 
+// reset tells the client of a flow that its back end is dead.
+func (traffic *traffic) reset(abandoned tokenroute.Abandoned, table *tokenroute.Table, now time.Time) {
+	packet := tokenroute.Packet{Key: abandoned.Key, Acknowledged: abandoned.Acknowledged}
+	decision := tokenroute.Decision{
+		Verdict: tokenroute.Refuse,
+		Reason:  tokenroute.ReasonDeadBackend,
+		Backend: abandoned.Backend,
+	}
+	traffic.log.note(packet, nil, decision, table, now)
+	traffic.carryOut(decision, packet, nil)
+}
+
 // idle is the time since the last packet.
 func (traffic *traffic) idle() time.Duration {
 	return time.Since(traffic.balancer.started) - time.Duration(traffic.lastPacket.Load())
--- a/internal/tokenroute/flows.go
+++ b/internal/tokenroute/flows.go
@@ -90,6 +90,14 @@
 // Verdicts is how often a back end was judged dead.
 func (flows *Flows) Verdicts() uint64 { return flows.liveness.Verdicts.Load() }
 
+// TakeAbandoned returns the flows whose back end was judged dead since the last
+// call, to be reset.
+func (flows *Flows) TakeAbandoned() []Abandoned {
+	taken := flows.liveness.abandoned
+	flows.liveness.abandoned = nil
+	return taken
+}
+
 // First returns the back end for the first packet of a flow, or a repetition
 // of it, or nil when the route has none. A repetition that comes before the
 // answer was due goes where the earlier one went.
--- a/internal/tokenroute/liveness.go
+++ b/internal/tokenroute/liveness.go
@@ -36,7 +36,10 @@
 // track is the oldest unanswered packet with data of one flow, as far as it
 // passed here.
 type track struct {
+	backend                *Backend
 	sequence, acknowledged uint32
+	// expected is what the client acknowledged last: a reset has to stand near it.
+	expected uint32
 	// passedAt is when a packet of the flow last passed, sentAt when the
 	// request did first, and repeatedAt when its last counted copy did.
 	passedAt, sentAt, repeatedAt time.Time
@@ -55,6 +58,14 @@
 	deadUntil time.Time
 }
 
+// Abandoned is a flow whose back end has just been judged dead.
+type Abandoned struct {
+	Key     flow.Key
+	Backend *Backend
+	// Acknowledged is what the client acknowledged last.
+	Acknowledged uint32
+}
+
 // Liveness tells back ends that have fallen silent by the packets of their
 // clients. The balancer sees no answers, since back ends send them straight to
 // the clients; but a client repeats what was not acknowledged, and acknowledges
@@ -62,7 +73,9 @@
 // no client acknowledged anything newer, means that the back end is gone.
 //
 // A flow of such a back end can only wait for its client's deadline, so the
-// client is better told at once. Since a reset that hits a living back end
+// client is better told at once: with the verdict on the flows that passed here
+// lately, even those that wait for nothing yet, so that their next request opens
+// a flow to a living back end; later on the flows that ask. Since a reset that hits a living back end
 // breaks a flow, every doubt counts for the back end: any acknowledgement that
 // is newer than the unanswered requests drops them, copies that did not pass
 // through this balancer do not count, and a verdict ends by itself unless the
@@ -73,6 +86,7 @@
 	current, previous map[flow.Key]*track
 	turnedAt          time.Time
 	judged            map[uint64]*judgement
+	abandoned         []Abandoned
 	// Verdicts counts the verdicts that back ends are dead.
 	Verdicts atomic.Uint64
 }
@@ -96,6 +110,9 @@
 	}
 	if packet.Length == 0 {
 		l.prove(backend, now)
+		if known := l.find(packet.Key); known != nil {
+			known.expected = packet.Acknowledged
+		}
 		return false
 	}
 	l.observeData(packet, backend, now)
@@ -109,10 +126,10 @@
 	known := l.find(packet.Key)
 	switch {
 	case known == nil:
-		l.follow(packet, now)
+		l.follow(packet, backend, now)
 	case known.acknowledged != packet.Acknowledged:
 		l.prove(backend, known.passedAt)
-		l.follow(packet, now)
+		l.follow(packet, backend, now)
 	case known.sequence == packet.Sequence:
 		known.passedAt = now
 		l.repeat(known, packet, backend, now)
@@ -121,12 +138,13 @@
 	}
 }
 
-func (l *Liveness) follow(packet Packet, now time.Time) {
+func (l *Liveness) follow(packet Packet, backend *Backend, now time.Time) {
 	if len(l.current) >= trackLimit {
 		return
 	}
 	l.current[packet.Key] = &track{
-		sequence: packet.Sequence, acknowledged: packet.Acknowledged,
+		backend:  backend,
+		sequence: packet.Sequence, acknowledged: packet.Acknowledged, expected: packet.Acknowledged,
 		passedAt: now, sentAt: now, repeatedAt: now,
 	}
 }
@@ -165,10 +183,25 @@
 	}
 	if !now.Before(judged.deadUntil) {
 		l.Verdicts.Add(1)
+		l.abandon(backend)
 	}
 	judged.deadUntil = now.Add(verdictTime)
 }
 
+// abandon puts the flows of a dead back end that passed lately on the list of
+// those to reset, and forgets them.
+func (l *Liveness) abandon(backend *Backend) {
+	for _, generation := range []map[flow.Key]*track{l.current, l.previous} {
+		for key, known := range generation {
+			if known.backend.Number != backend.Number {
+				continue
+			}
+			l.abandoned = append(l.abandoned, Abandoned{Key: key, Backend: backend, Acknowledged: known.expected})
+			delete(generation, key)
+		}
+	}
+}
+
 // prove takes that a back end lived at a time. Requests sent until then no
 // longer speak against it, and a verdict that rests on them ends.
 func (l *Liveness) prove(backend *Backend, livedAt time.Time) {
@@ -210,6 +243,7 @@
 	}
 	known := l.previous[key]
 	if known != nil && len(l.current) < trackLimit {
+		delete(l.previous, key)
 		l.current[key] = known
 	}
 	return known
--- a/internal/tokenroute/liveness_test.go
+++ b/internal/tokenroute/liveness_test.go
@@ -70,6 +70,27 @@
 	}
 }
 
+// A request that must not be repeated is lost when it goes to a dead back end,
+// so flows that wait for nothing yet are reset with the verdict.
+func TestVerdictAbandonsTheFlowsThatPassedLately(t *testing.T) {
+	table, flows := manyBackends(3), NewFlows()
+	flows.Decide(table, request(8, 2, 1), at(0))
+	answered := acknowledgement(8, 2)
+	answered.Acknowledged = 5300
+	flows.Decide(table, answered, at(20))
+	flows.Decide(table, request(7, 3, 1), at(100))
+	ask(flows, table, 2, []byte{1}, 100, 600)
+	require.Empty(t, flows.TakeAbandoned())
+	ask(flows, table, 2, []byte{2}, 110, 600)
+	acknowledged := make(map[flow.Key]uint32)
+	for _, abandoned := range flows.TakeAbandoned() {
+		require.Equal(t, Token(2), abandoned.Backend.Token)
+		acknowledged[abandoned.Key] = abandoned.Acknowledged
+	}
+	require.Equal(t, map[flow.Key]uint32{clientKey(1): 5000, clientKey(2): 5000, clientKey(8): 5300}, acknowledged)
+	require.Empty(t, flows.TakeAbandoned())
+}
+
 func TestOneClientIsNoWitnessUnlessTheEntryIsGone(t *testing.T) {
 	table := manyBackends(3)
 	require.Equal(t, []Verdict{Forward}, ask(NewFlows(), table, 2, []byte{1}, 0, 3000))
