No verdict on a back end unless others answer promptly

The log of edge-vyttila-hall-18: at 10.02 s a configuration of 3,000 routes comes into force and goes out to eight followers, about 1.2 MB over a link of 10 Mbit/s. For the next second the requests that this balancer forwards reach no back end at all, so all of them seemed silent and their flows were reset.

Ruled out: an error in the counting of repetitions (the copies in the log are 200 and 600 ms apart); back ends that were really silent (their own traces show other flows served).

Change: a verdict needs other back ends that answered requests sent since then without a repetition, twice as many as did not.

Test, red without the change: TestFullLinkOfTheBalancerIsNoVerdict.

--- a/internal/tokenroute/liveness.go
+++ b/internal/tokenroute/liveness.go
@@ -24,6 +24,9 @@
 	// witnessesNeeded is how many clients must speak against a back end that
 	// the directory has; one is enough when its entry is gone.
 	witnessesNeeded = 2
+	// promptRatio is how many back ends must have answered promptly for each
+	// other one that did not, before a balancer trusts its own link.
+	promptRatio = 2
 	// verdictTime is how long a verdict lasts without a new witness. It stays
 	// well below the time for which a disruption excuses a reset.
 	verdictTime = 2 * time.Second
@@ -50,11 +53,14 @@
 	repeats                      int
 }
 
-// judgement is what speaks against a back end.
+// judgement is what speaks for and against a back end.
 type judgement struct {
 	// provenAt is the latest time at which the back end is known to have sent
 	// something.
 	provenAt time.Time
+	// promptAt is when the latest request was sent that was answered without a
+	// repetition, and troubledAt when a request was last repeated.
+	promptAt, troubledAt time.Time
 	// witnesses are the clients whose requests stayed unanswered, with the time
 	// at which each request was first sent.
 	witnesses map[clientAddress]time.Time
@@ -84,7 +90,9 @@
 // breaks a flow, every doubt counts for the back end: any acknowledgement that
 // is newer than the unanswered requests drops them, copies that did not pass
 // through this balancer do not count, and a verdict ends by itself unless the
-// directory too says that the back end is gone.
+// directory too says that the back end is gone. A balancer whose own link is
+// full loses the requests to all its back ends; so there is no verdict unless
+// others answered promptly meanwhile, promptRatio times as many as did not.
 //
 // It belongs to one traffic goroutine.
 type Liveness struct {
@@ -114,16 +122,27 @@
 		return false
 	}
 	if packet.Length == 0 {
-		l.prove(backend, now)
-		if known := l.find(packet.Key); known != nil {
-			known.expected = packet.Acknowledged
-		}
+		l.observeAcknowledgement(packet, backend, now)
 		return false
 	}
 	l.observeData(packet, backend, now)
 	return l.Dead(backend, now)
 }
 
+// observeAcknowledgement follows a packet without data: the client sends it at
+// once when it has received something.
+func (l *Liveness) observeAcknowledgement(packet Packet, backend *Backend, now time.Time) {
+	l.prove(backend, now)
+	known := l.find(packet.Key)
+	if known == nil {
+		return
+	}
+	known.expected = packet.Acknowledged
+	if known.acknowledged != packet.Acknowledged {
+		l.answered(known, backend)
+	}
+}
+
 // observeData follows the oldest unanswered packet of a flow. A packet that
 // acknowledges more than the one before proves that the back end lived when
 // that one passed, at least.
@@ -134,6 +153,7 @@
 		l.follow(packet, backend, now)
 	case known.acknowledged != packet.Acknowledged:
 		l.prove(backend, known.passedAt)
+		l.answered(known, backend)
 		l.follow(packet, backend, now)
 	case known.sequence == packet.Sequence:
 		known.backend, known.passedAt = backend, now
@@ -162,31 +182,43 @@
 	}
 	known.repeats++
 	known.repeatedAt = now
+	if judged := l.judgementOf(known.backend); judged != nil {
+		judged.troubledAt = now
+	}
 	if known.repeats >= repeatsForWitness {
 		l.accuse(known, clientAddress(packet.Key.Source), now)
 	}
 }
 
-// accuse lets a client speak against the back end of its flow.
-func (l *Liveness) accuse(known *track, client clientAddress, now time.Time) {
-	backend := known.backend
+// answered takes that the oldest request of a flow was answered.
+func (l *Liveness) answered(known *track, backend *Backend) {
+	judged := l.judgementOf(backend)
+	if judged != nil && known.repeats == 0 && known.sentAt.After(judged.promptAt) {
+		judged.promptAt = known.sentAt
+	}
+}
+
+// judgementOf returns the judgement of a back end, or nil when there are too
+// many.
+func (l *Liveness) judgementOf(backend *Backend) *judgement {
 	judged := l.judged[backend.Number]
-	if judged == nil {
-		if len(l.judged) >= trackLimit {
-			return
-		}
-		judged = &judgement{}
+	if judged == nil && len(l.judged) < trackLimit {
+		judged = &judgement{witnesses: make(map[clientAddress]time.Time)}
 		l.judged[backend.Number] = judged
 	}
-	if !known.sentAt.After(judged.provenAt) {
+	return judged
+}
+
+// accuse lets a client speak against the back end of its flow.
+func (l *Liveness) accuse(known *track, client clientAddress, now time.Time) {
+	backend := known.backend
+	judged := l.judgementOf(backend)
+	if judged == nil || !known.sentAt.After(judged.provenAt) {
 		return
 	}
-	if judged.witnesses == nil {
-		judged.witnesses = make(map[clientAddress]time.Time)
-	}
 	judged.witnesses[client] = known.sentAt
 	proven := backend.Gone || known.repeats >= repeatsForProof || len(judged.witnesses) >= witnessesNeeded
-	if !proven {
+	if !proven || !l.othersPrompt(judged, known.sentAt) {
 		return
 	}
 	if !now.Before(judged.deadUntil) {
@@ -196,6 +228,22 @@
 	judged.deadUntil = now.Add(verdictTime)
 }
 
+// othersPrompt tells whether the other back ends have answered since a time,
+// so that it is not this balancer whose packets get lost.
+func (l *Liveness) othersPrompt(accused *judgement, since time.Time) bool {
+	prompt, troubled := 0, 0
+	for _, judged := range l.judged {
+		switch {
+		case judged == accused:
+		case judged.troubledAt.After(since):
+			troubled++
+		case judged.promptAt.After(since):
+			prompt++
+		}
+	}
+	return prompt > 0 && prompt >= promptRatio*troubled
+}
+
 // abandon puts the flows of a dead back end that passed lately on the list of
 // those to reset, and forgets them.
 func (l *Liveness) abandon(backend *Backend) {
@@ -213,13 +261,9 @@
 // prove takes that a back end lived at a time. Requests sent until then no
 // longer speak against it, and a verdict that rests on them ends.
 func (l *Liveness) prove(backend *Backend, livedAt time.Time) {
-	judged := l.judged[backend.Number]
+	judged := l.judgementOf(backend)
 	if judged == nil {
-		if len(l.judged) >= trackLimit {
-			return
-		}
-		judged = &judgement{}
-		l.judged[backend.Number] = judged
+		return
 	}
 	if !livedAt.After(judged.provenAt) {
 		return
@@ -267,12 +311,23 @@
 	l.previous, l.current = l.current, make(map[flow.Key]*track)
 	for number, judged := range l.judged {
 		l.forgetWitnesses(judged, now)
-		if len(judged.witnesses) == 0 && now.Sub(judged.provenAt) > trackTime {
+		if len(judged.witnesses) == 0 && now.Sub(judged.latest()) > trackTime {
 			delete(l.judged, number)
 		}
 	}
 }
 
+// latest is when anything was last learned of the back end.
+func (judged *judgement) latest() time.Time {
+	latest := judged.provenAt
+	for _, at := range []time.Time{judged.promptAt, judged.troubledAt} {
+		if at.After(latest) {
+			latest = at
+		}
+	}
+	return latest
+}
+
 // witnessTime is how long an unanswered request speaks against a back end.
 const witnessTime = time.Minute
 
