Let the strong balancers read the store and be followed

Cause: on the grown sites most balancers have 0.027 or 0.19 cores and a link of 10 Mbit/s, and a hash of the names chose who reads for a zone and whom the others follow. Such a reader takes a page of some 600 KB from the store every 1.7 s, and sends a configuration of 3,000 routes to eight followers: its own traffic waits, its followers' knowledge gets stale, and then they all read the store.

Ruled out: a store that answers slowly (its answers took 4 ms outside of its outage), and too few readers (each zone had one).

Change: settings and entries of balancers carry cores and link; the order puts the stronger tiers first, each twice as strong as the next. The tree is 16 wide, so that two strong balancers serve a zone of 34; a shared order over all zones stays at 16 balancers.

Test, red without the change: TestStrongBalancersServeTheOthers.

--- a/internal/balancer/announce.go
+++ b/internal/balancer/announce.go
@@ -57,13 +57,20 @@
 	if err != nil {
 		return 0, err
 	}
-	entry := &apiv1.Balancer{
-		Name:        balancer.settings.Load().GetName(),
-		Zone:        balancer.settings.Load().GetZone(),
-		PeerAddress: balancer.settings.Load().GetPeerAddress(),
-	}
-	if err := balancer.outside.Store.Announce(ctx, entry, lease); err != nil {
+	if err := balancer.outside.Store.Announce(ctx, balancer.entry(), lease); err != nil {
 		return 0, err
 	}
 	return lease, nil
 }
+
+// entry is how this balancer shows itself to the others.
+func (balancer *Balancer) entry() *apiv1.Balancer {
+	settings := balancer.settings.Load()
+	return &apiv1.Balancer{
+		Name:           settings.GetName(),
+		Zone:           settings.GetZone(),
+		PeerAddress:    settings.GetPeerAddress(),
+		ProcessorCores: settings.GetProcessorCores(),
+		LinkMegabits:   settings.GetLinkMegabits(),
+	}
+}
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -67,9 +67,7 @@
 		balancer: balancer,
 		known:    directory.New(retention),
 		core: replication.NewCore(replication.Config{
-			Name:         settings.GetName(),
-			Zone:         settings.GetZone(),
-			Address:      settings.GetPeerAddress(),
+			Self:         balancer.entry(),
 			Seeds:        settings.GetSeeds(),
 			PollInterval: time.Duration(settings.GetPollMilliseconds()) * time.Millisecond,
 			StaleAfter:   time.Duration(settings.GetStaleMilliseconds()) * time.Millisecond,
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -1,10 +1,8 @@
 package replication
 
 import (
-	"hash/fnv"
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"time"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
@@ -12,8 +10,8 @@
 
 // Config is what the pace of replication depends on.
 type Config struct {
-	// Name, Zone and Address are those of this balancer.
-	Name, Zone, Address string
+	// Self is the entry of this balancer.
+	Self *apiv1.Balancer
 	// Seeds are addresses of balancers to ask while none is known.
 	Seeds []string
 	// PollInterval is how often the reader of a zone reads the store.
@@ -54,11 +52,13 @@
 // changesPause lets changes gather between two calls that wait for them.
 const changesPause = 100 * time.Millisecond
 
-// DefaultTreeWidth suits readers that answer a few calls a second.
-const DefaultTreeWidth = 8
+// DefaultTreeWidth suits readers that answer a few calls a second. The two
+// strongest of a zone of 34 balancers then serve all others.
+const DefaultTreeWidth = 16
 
-// DefaultSharedOrderLimit keeps a shared order no deeper than a zone's own.
-const DefaultSharedOrderLimit = 2 * DefaultTreeWidth
+// DefaultSharedOrderLimit bounds the traffic between zones that a shared order
+// costs.
+const DefaultSharedOrderLimit = 16
 
 // Core is the state of one balancer's replication. It belongs to one
 // goroutine.
@@ -105,13 +105,12 @@
 // they are few, all zones share one order, and so one reader.
 func (core *Core) SetBalancers(known []*apiv1.Balancer) {
 	core.order, core.others = nil, nil
-	self := &apiv1.Balancer{Name: core.config.Name, Zone: core.config.Zone, PeerAddress: core.config.Address}
-	core.order = append(core.order, self)
+	core.order = append(core.order, core.config.Self)
 	few := len(known) <= core.config.SharedOrderLimit
 	for _, balancer := range known {
 		switch {
-		case balancer.GetName() == core.config.Name:
-		case few || balancer.GetZone() == core.config.Zone:
+		case balancer.GetName() == core.config.Self.GetName():
+		case few || balancer.GetZone() == core.config.Self.GetZone():
 			core.order = append(core.order, balancer)
 		default:
 			core.others = append(core.others, balancer)
@@ -121,23 +120,10 @@
 	byRank(core.others)
 }
 
-func byRank(balancers []*apiv1.Balancer) {
-	sort.Slice(balancers, func(i, j int) bool {
-		left, right := rank(balancers[i].GetName()), rank(balancers[j].GetName())
-		return left < right || left == right && balancers[i].GetName() < balancers[j].GetName()
-	})
-}
-
-func rank(name string) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(name))
-	return hash.Sum64()
-}
-
 // position is this balancer's place in its zone's order.
 func (core *Core) position() int {
 	for index, balancer := range core.order {
-		if balancer.GetName() == core.config.Name {
+		if balancer.GetName() == core.config.Self.GetName() {
 			return index
 		}
 	}
@@ -199,7 +185,7 @@
 	if len(core.order) > 1 || len(core.config.Seeds) == 0 {
 		return true
 	}
-	return slices.Contains(core.config.Seeds, core.config.Address)
+	return slices.Contains(core.config.Seeds, core.config.Self.GetPeerAddress())
 }
 
 // PollStarted spaces the next call from the start of this one.
@@ -268,7 +254,7 @@
 		return Peer{}, false
 	}
 	for _, address := range core.candidates() {
-		if address == core.config.Address || now.Before(core.paused[address]) {
+		if address == core.config.Self.GetPeerAddress() || now.Before(core.paused[address]) {
 			continue
 		}
 		return Peer{Address: address, Everything: !core.caughtUp}, true
--- a/internal/replication/core_test.go
+++ b/internal/replication/core_test.go
@@ -19,7 +19,8 @@
 
 func newCore(place int, seeds ...string) *Core {
 	return NewCore(Config{
-		Name: name(place), Zone: "maadi", Address: address(place), Seeds: seeds,
+		Self:  &apiv1.Balancer{Name: name(place), Zone: "maadi", PeerAddress: address(place)},
+		Seeds: seeds,
 		PollInterval: time.Second, StaleAfter: 1400 * time.Millisecond, TreeWidth: 2,
 		PeerPause: 2 * time.Second, BackoffLimit: time.Second,
 		StartPatience: 500 * time.Millisecond, AuditInterval: time.Minute,
@@ -69,6 +70,48 @@
 	}
 }
 
+// On the grown sites, most balancers have a link of 10 Mbit/s and 0.027 to 0.2
+// cores. One of those that read for a zone, and sent it a large configuration,
+// held up its own traffic for a second.
+func TestStrongBalancersServeTheOthers(t *testing.T) {
+	const count = 25
+	zone := zoneOf(count)
+	for place, balancer := range zone {
+		balancer.ProcessorCores, balancer.LinkMegabits = 0.027, 10
+		if place == 7 || place == 19 {
+			balancer.ProcessorCores, balancer.LinkMegabits = 0.8, 200
+		}
+	}
+	strong := []string{address(7), address(19)}
+	readers := 0
+	for place := range count {
+		core := newCore(place)
+		core.config.Self, core.config.TreeWidth = zone[place], DefaultTreeWidth
+		core.SetBalancers(zone)
+		core.Confirm(after(0))
+		if core.Reader() {
+			readers++
+			require.Contains(t, strong, address(place))
+			continue
+		}
+		peer, found := core.NextPeer(after(100))
+		require.True(t, found)
+		require.Contains(t, strong, peer.Address)
+	}
+	require.Equal(t, 1, readers)
+}
+
+func TestTiers(t *testing.T) {
+	of := func(cores, megabits float64) int {
+		return tier(&apiv1.Balancer{ProcessorCores: cores, LinkMegabits: megabits})
+	}
+	require.Equal(t, of(0.8, 200), of(0.9, 220), "about as strong")
+	require.Greater(t, of(0.8, 200), of(0.8, 10), "the link counts")
+	require.Greater(t, of(0.8, 200), of(0.027, 200), "the processor counts")
+	require.Greater(t, of(0.027, 10), of(0, 10), "unknown comes last")
+	require.Equal(t, of(0, 0), of(4, 0))
+}
+
 func TestStaleFollowersReadTheStore(t *testing.T) {
 	core := follower(t)
 	core.Confirm(after(0))
--- /dev/null
+++ b/internal/replication/order.go
@@ -0,0 +1,51 @@
+package replication
+
+import (
+	"hash/fnv"
+	"math"
+	"sort"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+)
+
+// What a balancer needs to serve DefaultTreeWidth followers without its own
+// traffic being held up: a large table of routes goes out to all of them at
+// once, and a large store comes in whole.
+const (
+	servingCores    = 0.1
+	servingMegabits = 100
+)
+
+// unknownTier ranks balancers whose strength is unknown behind the others.
+const unknownTier = math.MinInt32
+
+// byRank puts balancers in the order that all of them know: the strong ones
+// first, those that are about as strong by a hash of their names.
+func byRank(balancers []*apiv1.Balancer) {
+	sort.Slice(balancers, func(i, j int) bool {
+		a, b := balancers[i], balancers[j]
+		if tier(a) != tier(b) {
+			return tier(a) > tier(b)
+		}
+		if rank(a.GetName()) != rank(b.GetName()) {
+			return rank(a.GetName()) < rank(b.GetName())
+		}
+		return a.GetName() < b.GetName()
+	})
+}
+
+// tier groups balancers by strength: each tier is twice as strong as the one
+// below, by whichever of processor and link is the scarcer one.
+func tier(b *apiv1.Balancer) int {
+	strength := min(b.GetProcessorCores()/servingCores, b.GetLinkMegabits()/servingMegabits)
+	if strength <= 0 {
+		return unknownTier
+	}
+	return int(math.Floor(math.Log2(strength)))
+}
+
+func rank(name string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(name))
+	return hash.Sum64()
+}
--- a/internal/settings/balancer.go
+++ b/internal/settings/balancer.go
@@ -57,6 +57,8 @@
 	checker.number("stop_seconds", loaded.GetStopSeconds(), 0, 600)
 	checker.number("configuration_milliseconds", loaded.GetConfigurationMilliseconds(), 300, 600_000)
 	checker.number("drain_milliseconds", loaded.GetDrainMilliseconds(), 300, 600_000)
+	checker.number("processor_cores", loaded.GetProcessorCores(), 0, 4096)
+	checker.number("link_megabits", loaded.GetLinkMegabits(), 0, 10_000_000)
 	derivePace(loaded)
 	checker.between("poll_milliseconds", loaded.GetPollMilliseconds(), 100, 60_000)
 	checker.between("stale_milliseconds", loaded.GetStaleMilliseconds(), loaded.GetPollMilliseconds(), 120_000)
