Pack large tables of routes for followers

Cause: a configuration of 3,000 routes is 150 KB, and a balancer sends it whole to each follower at every change.

S2, since the processors are smaller than the links.

Change: a follower says that it takes packed tables, and gets large ones so.

--- a/internal/balancer/calls.go
+++ b/internal/balancer/calls.go
@@ -110,6 +110,8 @@
 	// confirmedAt is when the follower's own knowledge was confirmed.
 	confirmedAt time.Time
 	until       time.Time
+	// takesPacked tells whether the follower understands packed tables.
+	takesPacked bool
 	reply       chan *apiv1.FollowReply
 }
 
@@ -125,8 +127,9 @@
 
 		confirmedAt: now.Add(-time.Duration(request.GetAgeMilliseconds()) * time.Millisecond),
 
-		until: now.Add(time.Duration(request.GetWaitMilliseconds()) * time.Millisecond),
-		reply: make(chan *apiv1.FollowReply, 1),
+		until:       now.Add(time.Duration(request.GetWaitMilliseconds()) * time.Millisecond),
+		takesPacked: request.GetTakesPacked(),
+		reply:       make(chan *apiv1.FollowReply, 1),
 	}
 	select {
 	case control.followers <- asking:
@@ -172,7 +175,7 @@
 		return false
 	}
 	reply := &apiv1.FollowReply{
-		Batch:              control.known.Since(asking.after),
+		Batch:              control.newsFor(asking),
 		AgeMilliseconds:    uint32(age.Milliseconds()) + 1,
 		WaitedMilliseconds: uint32(now.Sub(asking.takenAt).Milliseconds()),
 	}
@@ -183,5 +186,19 @@
 	return true
 }
 
+// newsFor returns what is new to a follower, in the form that it takes.
+func (control *control) newsFor(asking *follower) *apiv1.DirectoryBatch {
+	batch := control.known.Since(asking.after)
+	if !asking.takesPacked {
+		return batch
+	}
+	packed, err := control.packer.Pack(batch)
+	if err != nil {
+		control.balancer.logger.Error("Control: routes could not be packed.", "error", err)
+		return batch
+	}
+	return packed
+}
+
 // unknownAge is the age of knowledge that nobody confirmed.
 const unknownAge = 1000 * time.Hour
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -45,6 +45,7 @@
 	known     *directory.Directory
 	core      *replication.Core
 	client    *replication.Client
+	packer    replication.Packer
 	programs  programs
 	followers chan *follower
 	waiting   []*follower
--- a/internal/replication/core_test.go
+++ b/internal/replication/core_test.go
@@ -19,8 +19,8 @@
 
 func newCore(place int, seeds ...string) *Core {
 	return NewCore(Config{
-		Self:  &apiv1.Balancer{Name: name(place), Zone: "maadi", PeerAddress: address(place)},
-		Seeds: seeds,
+		Self:         &apiv1.Balancer{Name: name(place), Zone: "maadi", PeerAddress: address(place)},
+		Seeds:        seeds,
 		PollInterval: time.Second, StaleAfter: 1400 * time.Millisecond, TreeWidth: 2,
 		PeerPause: 2 * time.Second, BackoffLimit: time.Second,
 		StartPatience: 500 * time.Millisecond, AuditInterval: time.Minute,
--- a/internal/replication/peers.go
+++ b/internal/replication/peers.go
@@ -61,7 +61,11 @@
 	wait := time.Duration(request.GetWaitMilliseconds()) * time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
+	request.TakesPacked = true
 	reply, err := apiv1.NewDRPCDirectoryClient(connection).Follow(ctx, request)
+	if err == nil {
+		err = Unpack(reply.GetBatch())
+	}
 	if err != nil {
 		client.Close()
 		return nil, errors.Wrapf(err, "peer %s: follow", address)
