--- a/test/e2e/balancer_test.go
+++ b/test/e2e/balancer_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/indigobarrow/indigobarrow/internal/standin/echonet"
@@ -259,6 +260,54 @@
 	site.requireNothingStray()
 }
 
+// A back end falls silent; its entry stays. The clients that wait for it are
+// told well before they give up, and nobody else's flow is touched.
+func TestBalancerTellsTheClientsOfASilentBackend(t *testing.T) {
+	t.Parallel()
+	site, _ := newLendingSite(t, 9)
+	flows, servers := site.open(site.target("198.18.0.1", 443), 60)
+	site.backends["i-a0"].Stop()
+	var waiting, others sync.WaitGroup
+	told := make(chan error, len(flows))
+	done := make(chan struct{})
+	began := time.Now()
+	for index, flow := range flows {
+		if servers[index] == "lending/i-a0" {
+			waiting.Go(func() {
+				_, err := flow.Request("page")
+				told <- err
+			})
+			continue
+		}
+		others.Go(func() { site.keepAsking(flow, servers[index], done) })
+	}
+	waiting.Wait()
+	close(done)
+	others.Wait()
+	close(told)
+	require.NotEmpty(t, told)
+	for err := range told {
+		require.ErrorIs(t, err, echonet.ErrBroken)
+	}
+	require.Less(t, time.Since(began), 2500*time.Millisecond)
+	site.requireNothingStray()
+}
+
+// keepAsking sends requests on a flow and requires that its own back end
+// answers all of them.
+func (site *site) keepAsking(flow *echonet.Flow, server string, done <-chan struct{}) {
+	for number := 0; ; number++ {
+		select {
+		case <-done:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+		answered, err := flow.Request(fmt.Sprintf("page %d", number))
+		assert.NoError(site.t, err)
+		assert.Equal(site.t, server, answered)
+	}
+}
+
 func TestBalancerKilledStoppedAndReplaced(t *testing.T) {
 	t.Parallel()
 	site, started := newLendingSite(t, 3)
