--- a/internal/balancer/announce.go
+++ b/internal/balancer/announce.go
@@ -19,7 +19,7 @@
 
 // announce keeps the entry of this balancer in the store, under a lease, so
 // that the others find it. Failures cost nothing but that.
-func (balancer *Balancer) announce(ctx context.Context) error {
+func (b *Balancer) announce(ctx context.Context) error {
 	lease := uint64(0)
 	pause := announceDelay
 	for {
@@ -30,13 +30,13 @@
 		case <-time.After(pause):
 		}
 		pause = renewInterval
-		if balancer.stopping.Load() {
+		if b.stopping.Load() {
 			continue
 		}
 		var err error
-		lease, err = balancer.renew(ctx, lease)
+		lease, err = b.renew(ctx, lease)
 		if err != nil {
-			balancer.logger.Debug("Announcement failed.", "error", err)
+			b.logger.Debug("Announcement failed.", "error", err)
 			pause = time.Second
 		}
 	}
@@ -44,28 +44,28 @@
 
 // renew renews the lease, or takes one and writes the entry when there is none.
 // It returns the lease in force, 0 for none.
-func (balancer *Balancer) renew(ctx context.Context, lease uint64) (uint64, error) {
+func (b *Balancer) renew(ctx context.Context, lease uint64) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
 	if lease != 0 {
-		if err := balancer.outside.Store.Renew(ctx, lease); err != nil {
+		if err := b.outside.Store.Renew(ctx, lease); err != nil {
 			return 0, err
 		}
 		return lease, nil
 	}
-	lease, err := balancer.outside.Store.Lease(ctx, leaseLength)
+	lease, err := b.outside.Store.Lease(ctx, leaseLength)
 	if err != nil {
 		return 0, err
 	}
-	if err := balancer.outside.Store.Announce(ctx, balancer.entry(), lease); err != nil {
+	if err := b.outside.Store.Announce(ctx, b.entry(), lease); err != nil {
 		return 0, err
 	}
 	return lease, nil
 }
 
 // entry is how this balancer shows itself to the others.
-func (balancer *Balancer) entry() *apiv1.Balancer {
-	settings := balancer.settings.Load()
+func (b *Balancer) entry() *apiv1.Balancer {
+	settings := b.settings.Load()
 	return &apiv1.Balancer{
 		Name:           settings.GetName(),
 		Zone:           settings.GetZone(),
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -100,8 +100,8 @@
 	return made, nil
 }
 
-func (balancer *Balancer) listen() error {
-	address, err := netip.ParseAddrPort(balancer.settings.Load().GetDataAddress())
+func (b *Balancer) listen() error {
+	address, err := netip.ParseAddrPort(b.settings.Load().GetDataAddress())
 	if err != nil {
 		return errors.Wrap(err, "data address")
 	}
@@ -109,44 +109,44 @@
 	if err != nil {
 		return errors.Wrapf(err, "traffic: listen on %s", address)
 	}
-	balancer.traffic = newTraffic(balancer, socket)
-	balancer.peers, err = net.Listen("tcp4", balancer.settings.Load().GetPeerAddress())
+	b.traffic = newTraffic(b, socket)
+	b.peers, err = net.Listen("tcp4", b.settings.Load().GetPeerAddress())
 	if err != nil {
-		return errors.Wrapf(err, "peers: listen on %s", balancer.settings.Load().GetPeerAddress())
+		return errors.Wrapf(err, "peers: listen on %s", b.settings.Load().GetPeerAddress())
 	}
-	balancer.probes, err = net.Listen("tcp4", balancer.settings.Load().GetReadinessAddress())
-	return errors.Wrapf(err, "readiness: listen on %s", balancer.settings.Load().GetReadinessAddress())
+	b.probes, err = net.Listen("tcp4", b.settings.Load().GetReadinessAddress())
+	return errors.Wrapf(err, "readiness: listen on %s", b.settings.Load().GetReadinessAddress())
 }
 
 // Ready tells whether the balancer takes new flows.
-func (balancer *Balancer) Ready() bool {
-	return balancer.table.Load() != nil && !balancer.stopping.Load()
+func (b *Balancer) Ready() bool {
+	return b.table.Load() != nil && !b.stopping.Load()
 }
 
 // Run serves until the context ends.
-func (balancer *Balancer) Run(ctx context.Context) error {
-	settings := balancer.settings.Load()
-	balancer.logger.Info("Started.", "zone", settings.GetZone(), "data", settings.GetDataAddress(),
+func (b *Balancer) Run(ctx context.Context) error {
+	settings := b.settings.Load()
+	b.logger.Info("Started.", "zone", settings.GetZone(), "data", settings.GetDataAddress(),
 		"peers", settings.GetPeerAddress(), "store", settings.GetStoreAddress())
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return balancer.traffic.run(ctx) })
-	group.Go(func() error { return balancer.control.run(ctx) })
-	group.Go(func() error { return replication.Serve(ctx, balancer.peers, balancer.control) })
-	group.Go(func() error { return balancer.serveReadiness(ctx) })
-	group.Go(func() error { return balancer.announce(ctx) })
-	group.Go(func() error { return balancer.serveMetrics(ctx) })
+	group.Go(func() error { return b.traffic.run(ctx) })
+	group.Go(func() error { return b.control.run(ctx) })
+	group.Go(func() error { return replication.Serve(ctx, b.peers, b.control) })
+	group.Go(func() error { return b.serveReadiness(ctx) })
+	group.Go(func() error { return b.announce(ctx) })
+	group.Go(func() error { return b.serveMetrics(ctx) })
 	return group.Wait()
 }
 
 const headerTimeout = 5 * time.Second
 
-func (balancer *Balancer) serveReadiness(ctx context.Context) error {
-	server := &http.Server{Handler: balancer.outside.Readiness(balancer.Ready), ReadHeaderTimeout: headerTimeout}
+func (b *Balancer) serveReadiness(ctx context.Context) error {
+	server := &http.Server{Handler: b.outside.Readiness(b.Ready), ReadHeaderTimeout: headerTimeout}
 	go func() {
 		<-ctx.Done()
 		_ = server.Close()
 	}()
-	err := server.Serve(balancer.probes)
+	err := server.Serve(b.probes)
 	if ctx.Err() != nil {
 		return nil
 	}
@@ -164,11 +164,11 @@
 
 // Stop tells the routers to send elsewhere and returns when they do, or when
 // the limit of the settings has passed. Packets are forwarded meanwhile.
-func (balancer *Balancer) Stop(ctx context.Context) {
-	balancer.logger.Info("Stopping as planned.")
-	balancer.stopping.Store(true)
+func (b *Balancer) Stop(ctx context.Context) {
+	b.logger.Info("Stopping as planned.")
+	b.stopping.Store(true)
 	began := time.Now()
-	limit := seconds(stopShare * balancer.settings.Load().GetStopSeconds())
+	limit := seconds(stopShare * b.settings.Load().GetStopSeconds())
 	ticker := time.NewTicker(stopQuiet / 4)
 	defer ticker.Stop()
 	for time.Since(began) < limit {
@@ -177,9 +177,9 @@
 			return
 		case <-ticker.C:
 		}
-		if time.Since(began) >= 2*stopQuiet && balancer.traffic.idle() >= stopQuiet {
+		if time.Since(began) >= 2*stopQuiet && b.traffic.idle() >= stopQuiet {
 			break
 		}
 	}
-	balancer.logger.Info("Stopped.", "after", time.Since(began).Round(time.Millisecond), "idle", balancer.traffic.idle().Round(time.Millisecond))
+	b.logger.Info("Stopped.", "after", time.Since(began).Round(time.Millisecond), "idle", b.traffic.idle().Round(time.Millisecond))
 }
--- a/internal/balancer/calls.go
+++ b/internal/balancer/calls.go
@@ -26,27 +26,27 @@
 
 // poll makes one call to the store, or two where the second one checks what
 // the first may have missed.
-func (control *control) poll(ctx context.Context, kind replication.Poll, after uint64, now time.Time) {
-	batch, err := control.read(ctx, kind, after)
-	control.balancer.storeCalls.count(err)
+func (c *control) poll(ctx context.Context, kind replication.Poll, after uint64, now time.Time) {
+	batch, err := c.read(ctx, kind, after)
+	c.balancer.storeCalls.count(err)
 	news := &apiv1.DirectoryNews{
 		Batch:           batch,
-		AsOfNanoseconds: int64(now.Sub(control.balancer.started)),
+		AsOfNanoseconds: int64(now.Sub(c.balancer.started)),
 		Poll:            uint32(kind),
 		HistoryLost:     errors.Is(err, ErrHistoryLost),
 	}
-	control.publish(ctx, news, err)
+	c.publish(ctx, news, err)
 }
 
-func (control *control) read(ctx context.Context, kind replication.Poll, after uint64) (*apiv1.DirectoryBatch, error) {
-	store := control.balancer.outside.Store
+func (c *control) read(ctx context.Context, kind replication.Poll, after uint64) (*apiv1.DirectoryBatch, error) {
+	store := c.balancer.outside.Store
 	switch kind {
 	case replication.PollSnapshot:
 		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 		defer cancel()
 		return store.Snapshot(ctx, math.MaxInt)
 	case replication.PollChanges:
-		wait := time.Duration(control.balancer.settings.Load().GetPollMilliseconds()) * time.Millisecond
+		wait := time.Duration(c.balancer.settings.Load().GetPollMilliseconds()) * time.Millisecond
 		ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 		defer cancel()
 		return store.Changes(ctx, after, wait)
@@ -59,21 +59,21 @@
 
 // checkRoutes reads the table of routes alone. A large store is followed by its
 // changes, and the one change that must not be missed is checked besides.
-func (control *control) checkRoutes(ctx context.Context, now time.Time) {
+func (c *control) checkRoutes(ctx context.Context, now time.Time) {
 	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	batch, err := control.balancer.outside.Store.Routes(bounded)
-	control.balancer.storeCalls.count(err)
-	control.publish(ctx, &apiv1.DirectoryNews{Batch: batch, Check: true}, err)
+	batch, err := c.balancer.outside.Store.Routes(bounded)
+	c.balancer.storeCalls.count(err)
+	c.publish(ctx, &apiv1.DirectoryNews{Batch: batch, Check: true}, err)
 }
 
 // follow asks a peer for news once. What the peer knew was confirmed no later
 // than its age before the answer left, and the answer left no earlier than the
 // call did plus the time that it waited there.
-func (control *control) follow(ctx context.Context, peer replication.Peer, after uint64, age time.Duration) {
+func (c *control) follow(ctx context.Context, peer replication.Peer, after uint64, age time.Duration) {
 	sent := time.Now()
 	request := &apiv1.FollowRequest{
-		From:             control.balancer.settings.Load().GetName(),
+		From:             c.balancer.settings.Load().GetName(),
 		After:            after,
 		WaitMilliseconds: uint32(followWait.Milliseconds()),
 		AgeMilliseconds:  uint32(age.Milliseconds()),
@@ -81,25 +81,25 @@
 	if peer.Everything {
 		request.After, request.WaitMilliseconds = 0, 0
 	}
-	reply, err := control.client.Follow(ctx, peer.Address, request)
-	control.balancer.peerCalls.count(err)
+	reply, err := c.client.Follow(ctx, peer.Address, request)
+	c.balancer.peerCalls.count(err)
 	left := sent.Add(time.Duration(reply.GetWaitedMilliseconds()) * time.Millisecond)
 	asOf := left.Add(-time.Duration(reply.GetAgeMilliseconds()) * time.Millisecond)
-	control.publish(ctx, &apiv1.DirectoryNews{
+	c.publish(ctx, &apiv1.DirectoryNews{
 		Batch:           reply.GetBatch(),
-		AsOfNanoseconds: int64(asOf.Sub(control.balancer.started)),
+		AsOfNanoseconds: int64(asOf.Sub(c.balancer.started)),
 		Peer:            peer.Address,
 		Everything:      peer.Everything,
 	}, err)
 }
 
-func (control *control) publish(ctx context.Context, news *apiv1.DirectoryNews, failure error) {
+func (c *control) publish(ctx context.Context, news *apiv1.DirectoryNews, failure error) {
 	if failure != nil {
 		news.Error = failure.Error()
 	}
-	err := control.balancer.bus.Publish(events.Event{Kind: events.KindNews, Body: news})
+	err := c.balancer.bus.Publish(events.Event{Kind: events.KindNews, Body: news})
 	if err != nil && ctx.Err() == nil {
-		control.balancer.logger.Error("Control: event lost.", "error", err)
+		c.balancer.logger.Error("Control: event lost.", "error", err)
 	}
 }
 
@@ -119,7 +119,7 @@
 var errBusy = errors.New("too many balancers follow this one; ask another")
 
 // Follow implements replication.Handler. It runs in the goroutine of the call.
-func (control *control) Follow(ctx context.Context, request *apiv1.FollowRequest) (*apiv1.FollowReply, error) {
+func (c *control) Follow(ctx context.Context, request *apiv1.FollowRequest) (*apiv1.FollowReply, error) {
 	now := time.Now()
 	asking := &follower{
 		after:   request.GetAfter(),
@@ -132,7 +132,7 @@
 		reply:       make(chan *apiv1.FollowReply, 1),
 	}
 	select {
-	case control.followers <- asking:
+	case c.followers <- asking:
 	default:
 		return nil, errBusy
 	}
@@ -145,37 +145,37 @@
 }
 
 // take lets a follower wait, or answers it at once when there is no room.
-func (control *control) take(asking *follower) {
-	if len(control.waiting) >= followersLimit {
+func (c *control) take(asking *follower) {
+	if len(c.waiting) >= followersLimit {
 		asking.until = asking.takenAt
 	}
-	control.waiting = append(control.waiting, asking)
+	c.waiting = append(c.waiting, asking)
 }
 
 // answerWaiting answers the followers for whom there is news: entries, or a
 // younger confirmation than when they asked.
-func (control *control) answerWaiting(now time.Time) {
-	kept := control.waiting[:0]
-	for _, asking := range control.waiting {
-		if !control.answer(asking, now) {
+func (c *control) answerWaiting(now time.Time) {
+	kept := c.waiting[:0]
+	for _, asking := range c.waiting {
+		if !c.answer(asking, now) {
 			kept = append(kept, asking)
 		}
 	}
-	clear(control.waiting[len(kept):])
-	control.waiting = kept
+	clear(c.waiting[len(kept):])
+	c.waiting = kept
 }
 
-func (control *control) answer(asking *follower, now time.Time) bool {
-	age, known := control.core.Age(now)
+func (c *control) answer(asking *follower, now time.Time) bool {
+	age, known := c.core.Age(now)
 	if !known && now.Before(asking.until) {
 		return false
 	}
 	younger := known && now.Add(-age).Sub(asking.confirmedAt) >= youngerBy
-	if asking.after >= control.known.Revision() && !younger && now.Before(asking.until) {
+	if asking.after >= c.known.Revision() && !younger && now.Before(asking.until) {
 		return false
 	}
 	reply := &apiv1.FollowReply{
-		Batch:              control.newsFor(asking),
+		Batch:              c.newsFor(asking),
 		AgeMilliseconds:    uint32(age.Milliseconds()) + 1,
 		WaitedMilliseconds: uint32(now.Sub(asking.takenAt).Milliseconds()),
 	}
@@ -187,14 +187,14 @@
 }
 
 // newsFor returns what is new to a follower, in the form that it takes.
-func (control *control) newsFor(asking *follower) *apiv1.DirectoryBatch {
-	batch := control.known.Since(asking.after)
+func (c *control) newsFor(asking *follower) *apiv1.DirectoryBatch {
+	batch := c.known.Since(asking.after)
 	if !asking.takesPacked {
 		return batch
 	}
-	packed, err := control.packer.Pack(batch)
+	packed, err := c.packer.Pack(batch)
 	if err != nil {
-		control.balancer.logger.Error("Control: routes could not be packed.", "error", err)
+		c.balancer.logger.Error("Control: routes could not be packed.", "error", err)
 		return batch
 	}
 	return packed
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -91,15 +91,15 @@
 	return made
 }
 
-func (control *control) run(ctx context.Context) error {
-	defer control.client.Close()
-	messages, err := control.balancer.bus.Subscribe(ctx)
+func (c *control) run(ctx context.Context) error {
+	defer c.client.Close()
+	messages, err := c.balancer.bus.Subscribe(ctx)
 	if err != nil {
 		return err
 	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	control.tick(ctx, time.Now())
+	c.tick(ctx, time.Now())
 	for {
 		select {
 		case <-ctx.Done():
@@ -108,152 +108,152 @@
 			if !open {
 				return nil
 			}
-			control.handle(carried)
-		case asking := <-control.followers:
-			control.take(asking)
+			c.handle(carried)
+		case asking := <-c.followers:
+			c.take(asking)
 		case <-ticker.C:
 		}
-		control.tick(ctx, time.Now())
+		c.tick(ctx, time.Now())
 	}
 }
 
 // tick starts the calls that are due, answers followers and renews the table.
-func (control *control) tick(ctx context.Context, now time.Time) {
-	control.startPoll(ctx, now)
-	if !control.following {
-		control.core.SetSeeds(control.balancer.settings.Load().GetSeeds())
-		if peer, found := control.core.NextPeer(now); found {
-			control.following = true
-			age, known := control.core.Age(now)
+func (c *control) tick(ctx context.Context, now time.Time) {
+	c.startPoll(ctx, now)
+	if !c.following {
+		c.core.SetSeeds(c.balancer.settings.Load().GetSeeds())
+		if peer, found := c.core.NextPeer(now); found {
+			c.following = true
+			age, known := c.core.Age(now)
 			if !known {
 				age = unknownAge
 			}
-			go control.follow(ctx, peer, control.known.Revision(), age)
+			go c.follow(ctx, peer, c.known.Revision(), age)
 		}
 	}
-	control.answerWaiting(now)
-	if control.known.Expire(now) {
-		control.rebuild = true
+	c.answerWaiting(now)
+	if c.known.Expire(now) {
+		c.rebuild = true
 	}
-	due := control.rebuild || !control.nextTurn.IsZero() && now.After(control.nextTurn)
-	if due && !now.Before(control.nextBuild) {
-		control.renewTable(now)
+	due := c.rebuild || !c.nextTurn.IsZero() && now.After(c.nextTurn)
+	if due && !now.Before(c.nextBuild) {
+		c.renewTable(now)
 		took := time.Since(now)
-		control.nextBuild = now.Add(buildShare * took)
+		c.nextBuild = now.Add(buildShare * took)
 	}
 }
 
-func (control *control) startPoll(ctx context.Context, now time.Time) {
-	if control.polling {
+func (c *control) startPoll(ctx context.Context, now time.Time) {
+	if c.polling {
 		return
 	}
-	kind := control.core.NextPoll(now)
+	kind := c.core.NextPoll(now)
 	if kind == replication.PollNone {
 		return
 	}
-	control.polling = true
-	control.core.PollStarted(kind, now)
-	control.balancer.logger.Debug("Control: store is read.", "kind", kind, "reader", control.core.Reader())
-	go control.poll(ctx, kind, control.known.Revision(), now)
-	if kind == replication.PollChanges && !now.Before(control.nextCheck) {
-		control.nextCheck = now.Add(time.Duration(control.balancer.settings.Load().GetPollMilliseconds()) * time.Millisecond)
-		go control.checkRoutes(ctx, now)
+	c.polling = true
+	c.core.PollStarted(kind, now)
+	c.balancer.logger.Debug("Control: store is read.", "kind", kind, "reader", c.core.Reader())
+	go c.poll(ctx, kind, c.known.Revision(), now)
+	if kind == replication.PollChanges && !now.Before(c.nextCheck) {
+		c.nextCheck = now.Add(time.Duration(c.balancer.settings.Load().GetPollMilliseconds()) * time.Millisecond)
+		go c.checkRoutes(ctx, now)
 	}
 }
 
-func (control *control) handle(carried *message.Message) {
+func (c *control) handle(carried *message.Message) {
 	event, err := events.Decode(carried)
 	if err != nil {
-		control.balancer.logger.Error("Control: event not understood.", "error", err)
+		c.balancer.logger.Error("Control: event not understood.", "error", err)
 		return
 	}
 	if news, isNews := event.Body.(*apiv1.DirectoryNews); isNews {
-		control.learn(news, time.Now())
+		c.learn(news, time.Now())
 	}
 }
 
 // learn takes the answer of the store or of a peer.
-func (control *control) learn(news *apiv1.DirectoryNews, now time.Time) {
-	asOf := control.balancer.started.Add(time.Duration(news.GetAsOfNanoseconds()))
+func (c *control) learn(news *apiv1.DirectoryNews, now time.Time) {
+	asOf := c.balancer.started.Add(time.Duration(news.GetAsOfNanoseconds()))
 	switch {
 	case news.GetCheck():
 	case news.GetPeer() == "":
-		control.polling = false
-		control.pollEnded(news, now)
+		c.polling = false
+		c.pollEnded(news, now)
 	default:
-		control.following = false
-		control.followEnded(news, asOf, now)
+		c.following = false
+		c.followEnded(news, asOf, now)
 	}
 	if news.GetError() != "" {
-		control.balancer.logger.Debug("Control: call failed.", "peer", news.GetPeer(), "error", news.GetError())
+		c.balancer.logger.Debug("Control: call failed.", "peer", news.GetPeer(), "error", news.GetError())
 		return
 	}
-	if control.known.Apply(news.GetBatch(), now) {
-		control.rebuild = true
-		control.core.SetBalancers(control.known.Balancers())
+	if c.known.Apply(news.GetBatch(), now) {
+		c.rebuild = true
+		c.core.SetBalancers(c.known.Balancers())
 	}
 	// A batch without a revision is a part of what the store holds, or comes
 	// from a peer that knows nothing itself.
 	if news.GetBatch().GetRevision() > 0 {
-		control.core.Confirm(asOf)
-		control.balancer.confirmedAt.Store(int64(control.core.ConfirmedAt().Sub(control.balancer.started)))
+		c.core.Confirm(asOf)
+		c.balancer.confirmedAt.Store(int64(c.core.ConfirmedAt().Sub(c.balancer.started)))
 	}
 }
 
-func (control *control) pollEnded(news *apiv1.DirectoryNews, now time.Time) {
+func (c *control) pollEnded(news *apiv1.DirectoryNews, now time.Time) {
 	switch {
 	case news.GetHistoryLost():
-		control.core.HistoryLost(now)
+		c.core.HistoryLost(now)
 	case news.GetError() != "":
-		control.core.PollFailed(now)
+		c.core.PollFailed(now)
 	default:
-		control.core.PollSucceeded(replication.Poll(news.GetPoll()), news.GetBatch().GetComplete(), now)
+		c.core.PollSucceeded(replication.Poll(news.GetPoll()), news.GetBatch().GetComplete(), now)
 	}
 }
 
-func (control *control) followEnded(news *apiv1.DirectoryNews, asOf, now time.Time) {
+func (c *control) followEnded(news *apiv1.DirectoryNews, asOf, now time.Time) {
 	peer := replication.Peer{Address: news.GetPeer(), Everything: news.GetEverything()}
 	if news.GetError() != "" {
-		control.core.PeerFailed(peer, now)
+		c.core.PeerFailed(peer, now)
 		return
 	}
-	control.core.PeerAnswered(peer, asOf, now)
+	c.core.PeerAnswered(peer, asOf, now)
 }
 
 // renewTable builds the table that packets are decided by.
-func (control *control) renewTable(now time.Time) {
-	control.rebuild = false
-	control.nextTurn = time.Time{}
-	if control.known.Revision() == 0 {
+func (c *control) renewTable(now time.Time) {
+	c.rebuild = false
+	c.nextTurn = time.Time{}
+	if c.known.Revision() == 0 {
 		// A part of the store is no ground to refuse flows on.
 		return
 	}
-	control.rememberPools(now)
-	table := tokenroute.NewTable(control.known, tokenroute.Options{
-		Weigh:      control.weigher(now),
-		Former:     control.formerPools(now),
-		AdmitAll:   now.Sub(control.firstAt) < control.flowLife(),
-		LapseGrace: control.lapseGrace(),
+	c.rememberPools(now)
+	table := tokenroute.NewTable(c.known, tokenroute.Options{
+		Weigh:      c.weigher(now),
+		Former:     c.formerPools(now),
+		AdmitAll:   now.Sub(c.firstAt) < c.flowLife(),
+		LapseGrace: c.lapseGrace(),
 		Now:        now,
 	})
 	if table == nil {
 		return
 	}
-	control.scheduleTurn(now)
-	previous := control.balancer.table.Swap(table)
+	c.scheduleTurn(now)
+	previous := c.balancer.table.Swap(table)
 	if previous == nil || previous.Version != table.Version {
-		control.balancer.logger.Info("Control: configuration in force.", "version", table.Version,
+		c.balancer.logger.Info("Control: configuration in force.", "version", table.Version,
 			"revision", table.Revision, "routes", table.Routes())
 	}
 }
 
-func (control *control) lapseGrace() time.Duration {
-	drain := control.balancer.settings.Load().GetDrainMilliseconds()
+func (c *control) lapseGrace() time.Duration {
+	drain := c.balancer.settings.Load().GetDrainMilliseconds()
 	return time.Duration(drain/lapseShare) * time.Millisecond
 }
 
-func (control *control) flowLife() time.Duration {
-	return seconds(control.balancer.settings.Load().GetFlowSeconds())
+func (c *control) flowLife() time.Duration {
+	return seconds(c.balancer.settings.Load().GetFlowSeconds())
 }
 
 // seconds turns a number of seconds into a duration.
@@ -263,33 +263,33 @@
 
 // scheduleTurn sets when the table changes without news: new flows return to
 // their zone, or vanished back ends lose their grace.
-func (control *control) scheduleTurn(now time.Time) {
-	if spreadEnd := control.firstAt.Add(spreadTime); now.Before(spreadEnd) {
-		control.nextTurn = spreadEnd
+func (c *control) scheduleTurn(now time.Time) {
+	if spreadEnd := c.firstAt.Add(spreadTime); now.Before(spreadEnd) {
+		c.nextTurn = spreadEnd
 	}
-	for _, backend := range control.known.Backends() {
-		end := backend.VanishedAt.Add(control.lapseGrace())
+	for _, backend := range c.known.Backends() {
+		end := backend.VanishedAt.Add(c.lapseGrace())
 		if !backend.Gone || !now.Before(end) {
 			continue
 		}
-		if control.nextTurn.IsZero() || end.Before(control.nextTurn) {
-			control.nextTurn = end
+		if c.nextTurn.IsZero() || end.Before(c.nextTurn) {
+			c.nextTurn = end
 		}
 	}
 }
 
 // rememberPools notes the pools of each address, whose open flows stay on them
 // when a later configuration names others.
-func (control *control) rememberPools(now time.Time) {
-	if control.known.Routes() != nil && control.firstAt.IsZero() {
-		control.firstAt = now
+func (c *control) rememberPools(now time.Time) {
+	if c.known.Routes() != nil && c.firstAt.IsZero() {
+		c.firstAt = now
 	}
-	for _, route := range control.known.Routes().GetRoutes() {
+	for _, route := range c.known.Routes().GetRoutes() {
 		address := tokenroute.AddressOf(route)
-		pools := control.former[address]
+		pools := c.former[address]
 		if pools == nil {
 			pools = make(map[string]time.Time)
-			control.former[address] = pools
+			c.former[address] = pools
 		}
 		for _, share := range route.GetPools() {
 			pools[share.GetPool()] = now
@@ -297,12 +297,12 @@
 	}
 }
 
-func (control *control) formerPools(now time.Time) map[flow.Address]map[string]bool {
-	found := make(map[flow.Address]map[string]bool, len(control.former))
-	for address, pools := range control.former {
+func (c *control) formerPools(now time.Time) map[flow.Address]map[string]bool {
+	found := make(map[flow.Address]map[string]bool, len(c.former))
+	for address, pools := range c.former {
 		kept := make(map[string]bool, len(pools))
 		for pool, lastAt := range pools {
-			if now.Sub(lastAt) > control.flowLife() {
+			if now.Sub(lastAt) > c.flowLife() {
 				delete(pools, pool)
 				continue
 			}
--- a/internal/balancer/decisionlog.go
+++ b/internal/balancer/decisionlog.go
@@ -27,9 +27,9 @@
 }
 
 // note writes the line of a decision, if it has one and there is room for it.
-func (log *decisionLog) note(packet tokenroute.Packet, request []byte, decision tokenroute.Decision, table *tokenroute.Table, now time.Time) {
+func (d *decisionLog) note(packet tokenroute.Packet, request []byte, decision tokenroute.Decision, table *tokenroute.Table, now time.Time) {
 	message, failure := describe(packet, request, decision)
-	if message == "" || !log.room(failure, now) {
+	if message == "" || !d.room(failure, now) {
 		return
 	}
 	attributes := []slog.Attr{
@@ -52,7 +52,7 @@
 	if failure {
 		level = slog.LevelWarn
 	}
-	log.logger.LogAttrs(context.Background(), level, message, attributes...)
+	d.logger.LogAttrs(context.Background(), level, message, attributes...)
 }
 
 func describe(packet tokenroute.Packet, request []byte, decision tokenroute.Decision) (message string, failure bool) {
@@ -73,19 +73,19 @@
 
 // room tells whether this second's budget has a line left. What was left out
 // is told once the second is over.
-func (log *decisionLog) room(failure bool, now time.Time) bool {
-	if second := now.Unix(); second != log.second {
-		if log.leftOut > 0 {
-			log.logger.Warn("Traffic: lines left out.", "lines", log.leftOut)
+func (d *decisionLog) room(failure bool, now time.Time) bool {
+	if second := now.Unix(); second != d.second {
+		if d.leftOut > 0 {
+			d.logger.Warn("Traffic: lines left out.", "lines", d.leftOut)
 		}
-		log.second, log.ordinary, log.failures, log.leftOut = second, 0, 0, 0
+		d.second, d.ordinary, d.failures, d.leftOut = second, 0, 0, 0
 	}
-	used, limit := &log.ordinary, ordinaryLines
+	used, limit := &d.ordinary, ordinaryLines
 	if failure {
-		used, limit = &log.failures, failureLines
+		used, limit = &d.failures, failureLines
 	}
 	if *used >= limit {
-		log.leftOut++
+		d.leftOut++
 		return false
 	}
 	*used++
--- a/internal/balancer/metrics.go
+++ b/internal/balancer/metrics.go
@@ -18,12 +18,12 @@
 	answered, failed atomic.Uint64
 }
 
-func (counts *callCounts) count(err error) {
+func (c *callCounts) count(err error) {
 	if err != nil {
-		counts.failed.Add(1)
+		c.failed.Add(1)
 		return
 	}
-	counts.answered.Add(1)
+	c.answered.Add(1)
 }
 
 // collector reads the balancer's counters when the metrics are asked for.
@@ -50,11 +50,11 @@
 
 // Describe implements prometheus.Collector. It announces nothing, since what
 // is collected depends on the state of the balancer.
-func (collector *collector) Describe(chan<- *prometheus.Desc) {}
+func (c *collector) Describe(chan<- *prometheus.Desc) {}
 
 // Collect implements prometheus.Collector.
-func (collector *collector) Collect(metrics chan<- prometheus.Metric) {
-	balancer := collector.balancer
+func (c *collector) Collect(metrics chan<- prometheus.Metric) {
+	balancer := c.balancer
 	traffic := balancer.traffic
 	counter := func(description *prometheus.Desc, value uint64, labels ...string) {
 		metrics <- prometheus.MustNewConstMetric(description, prometheus.CounterValue, float64(value), labels...)
@@ -88,13 +88,13 @@
 }
 
 // serveMetrics serves the metrics if the settings give them an address.
-func (balancer *Balancer) serveMetrics(ctx context.Context) error {
-	address := balancer.settings.Load().GetMetricsAddress()
+func (b *Balancer) serveMetrics(ctx context.Context) error {
+	address := b.settings.Load().GetMetricsAddress()
 	if address == "" {
 		return nil
 	}
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(&collector{balancer: balancer})
+	registry.MustRegister(&collector{balancer: b})
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	server := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: headerTimeout}
--- a/internal/balancer/reload.go
+++ b/internal/balancer/reload.go
@@ -34,7 +34,7 @@
 var changeable = map[protoreflect.Name]bool{"log_level": true, "seeds": true}
 
 // Reload watches the settings file until the context ends.
-func (balancer *Balancer) Reload(ctx context.Context, reloader Reloader) error {
+func (b *Balancer) Reload(ctx context.Context, reloader Reloader) error {
 	ticker := time.NewTicker(lookInterval)
 	defer ticker.Stop()
 	modified := modifiedAt(reloader.Path)
@@ -49,7 +49,7 @@
 			}
 		}
 		modified = modifiedAt(reloader.Path)
-		balancer.reload(reloader)
+		b.reload(reloader)
 	}
 }
 
@@ -63,25 +63,25 @@
 
 // reload reads the file once. A faulty file, or one that changes what only a
 // restart can, leaves everything as it is.
-func (balancer *Balancer) reload(reloader Reloader) {
+func (b *Balancer) reload(reloader Reloader) {
 	loaded, err := reloader.Load()
 	if err != nil {
-		balancer.logger.Error("Settings: refused, the old ones stay.", "error", err)
+		b.logger.Error("Settings: refused, the old ones stay.", "error", err)
 		return
 	}
-	current := balancer.settings.Load()
+	current := b.settings.Load()
 	if field := needsRestart(current, loaded); field != "" {
-		balancer.logger.Error("Settings: refused, the old ones stay.", "field", field,
+		b.logger.Error("Settings: refused, the old ones stay.", "field", field,
 			"remedy", "restart the balancer to change this field")
 		return
 	}
 	if proto.Equal(current, loaded) {
-		balancer.logger.Info("Settings: unchanged.")
+		b.logger.Info("Settings: unchanged.")
 		return
 	}
-	balancer.settings.Store(loaded)
+	b.settings.Store(loaded)
 	_ = reloader.Level.UnmarshalText([]byte(loaded.GetLogLevel()))
-	balancer.logger.Info("Settings: in force.")
+	b.logger.Info("Settings: in force.")
 }
 
 // needsRestart names a changed field that only a restart can change, or none.
--- a/internal/balancer/weigh.go
+++ b/internal/balancer/weigh.go
@@ -36,14 +36,14 @@
 // weigher gives the relative share of new flows that a back end takes: by the
 // policy of its pool, else by the default policy, else by its zone. A policy
 // that fails is passed over, so that a bad program never stops traffic.
-func (control *control) weigher(now time.Time) func(directory.BackendEntry) uint32 {
-	zone := control.balancer.settings.Load().GetZone()
-	spread := now.Sub(control.firstAt) < spreadTime
-	ready := control.readyInZone(zone)
+func (c *control) weigher(now time.Time) func(directory.BackendEntry) uint32 {
+	zone := c.balancer.settings.Load().GetZone()
+	spread := now.Sub(c.firstAt) < spreadTime
+	ready := c.readyInZone(zone)
 	return func(backend directory.BackendEntry) uint32 {
 		local := backend.GetZone() == zone
-		if program := control.programs.find(control.known, backend.GetPool()); program != nil {
-			if weight, ok := control.evaluate(program, backend, local); ok {
+		if program := c.programs.find(c.known, backend.GetPool()); program != nil {
+			if weight, ok := c.evaluate(program, backend, local); ok {
 				return weight
 			}
 		}
@@ -55,9 +55,9 @@
 }
 
 // readyInZone counts the back ends of a zone that may take new flows, by pool.
-func (control *control) readyInZone(zone string) map[string]int {
+func (c *control) readyInZone(zone string) map[string]int {
 	ready := make(map[string]int)
-	for _, backend := range control.known.Backends() {
+	for _, backend := range c.known.Backends() {
 		if backend.GetZone() == zone && !backend.Gone && !backend.GetDraining() {
 			ready[backend.GetPool()]++
 		}
@@ -65,7 +65,7 @@
 	return ready
 }
 
-func (control *control) evaluate(program *policy.Program, backend directory.BackendEntry, local bool) (uint32, bool) {
+func (c *control) evaluate(program *policy.Program, backend directory.BackendEntry, local bool) (uint32, bool) {
 	facts := policy.Facts{
 		Name:          backend.GetId(),
 		Zone:          backend.GetZone(),
@@ -82,7 +82,7 @@
 	}
 	outcome, err := program.Evaluate(facts)
 	if err != nil {
-		control.balancer.logger.Warn("Control: policy failed, zones decide.", "pool", backend.GetPool(),
+		c.balancer.logger.Warn("Control: policy failed, zones decide.", "pool", backend.GetPool(),
 			"backend", backend.GetId(), "error", err)
 		return 0, false
 	}
@@ -103,7 +103,7 @@
 }
 
 // find returns the program for a pool, or nil when the zones decide.
-func (programs *programs) find(known *directory.Directory, pool string) *policy.Program {
+func (p *programs) find(known *directory.Directory, pool string) *policy.Program {
 	found := known.Policy(pool)
 	if found == nil {
 		found = known.Policy(defaultPolicy)
@@ -111,14 +111,14 @@
 	if found == nil {
 		return nil
 	}
-	kept := programs.compiled[found.GetName()]
+	kept := p.compiled[found.GetName()]
 	if kept == nil || kept.policy != found {
 		program, err := policy.Compile(found)
 		if err != nil {
 			program = nil
 		}
 		kept = &compiledPolicy{policy: found, program: program}
-		programs.compiled[found.GetName()] = kept
+		p.compiled[found.GetName()] = kept
 	}
 	return kept.program
 }
--- a/internal/directory/changelog.go
+++ b/internal/directory/changelog.go
@@ -20,38 +20,38 @@
 }
 
 // add notes a change.
-func (log *changeLog) add(revision uint64, key Key) {
-	last := len(log.changes) - 1
-	inOrder := last < 0 || log.changes[last].revision <= revision
-	log.sorted = inOrder && (log.sorted || last < 0)
-	log.changes = append(log.changes, loggedChange{revision: revision, key: key})
+func (c *changeLog) add(revision uint64, key Key) {
+	last := len(c.changes) - 1
+	inOrder := last < 0 || c.changes[last].revision <= revision
+	c.sorted = inOrder && (c.sorted || last < 0)
+	c.changes = append(c.changes, loggedChange{revision: revision, key: key})
 }
 
 // since returns the changes after a revision, in order.
-func (log *changeLog) since(after uint64) []loggedChange {
-	log.sort()
-	first := sort.Search(len(log.changes), func(place int) bool {
-		return log.changes[place].revision > after
+func (c *changeLog) since(after uint64) []loggedChange {
+	c.sort()
+	first := sort.Search(len(c.changes), func(place int) bool {
+		return c.changes[place].revision > after
 	})
-	return log.changes[first:]
+	return c.changes[first:]
 }
 
-func (log *changeLog) sort() {
-	if log.sorted {
+func (c *changeLog) sort() {
+	if c.sorted {
 		return
 	}
-	sort.SliceStable(log.changes, func(i, j int) bool {
-		return log.changes[i].revision < log.changes[j].revision
+	sort.SliceStable(c.changes, func(i, j int) bool {
+		return c.changes[i].revision < c.changes[j].revision
 	})
-	log.sorted = true
+	c.sorted = true
 }
 
 // compact drops replaced changes once they are the larger part.
-func (log *changeLog) compact(entries map[Key]*entry) {
-	if len(log.changes) <= 2*len(entries)+1 {
+func (c *changeLog) compact(entries map[Key]*entry) {
+	if len(c.changes) <= 2*len(entries)+1 {
 		return
 	}
-	log.changes = slices.DeleteFunc(log.changes, func(logged loggedChange) bool {
+	c.changes = slices.DeleteFunc(c.changes, func(logged loggedChange) bool {
 		known := entries[logged.key]
 		return known == nil || known.logged != logged.revision
 	})
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -88,37 +88,37 @@
 }
 
 // Revision is the revision up to which everything is known; 0 is nothing.
-func (directory *Directory) Revision() uint64 { return directory.revision }
+func (d *Directory) Revision() uint64 { return d.revision }
 
 // Apply merges a batch and tells whether any entry changed.
-func (directory *Directory) Apply(batch *apiv1.DirectoryBatch, now time.Time) bool {
+func (d *Directory) Apply(batch *apiv1.DirectoryBatch, now time.Time) bool {
 	changed := false
-	late := batch.GetRevision() < directory.revision
+	late := batch.GetRevision() < d.revision
 	for _, change := range batch.GetChanges() {
-		changed = directory.merge(change, late, now) || changed
+		changed = d.merge(change, late, now) || changed
 	}
 	if batch.GetComplete() {
-		changed = directory.removeUnnamed(batch, now) || changed
+		changed = d.removeUnnamed(batch, now) || changed
 	}
-	directory.rise(batch.GetRevision())
+	d.rise(batch.GetRevision())
 	return changed
 }
 
-func (directory *Directory) rise(revision uint64) {
-	if revision <= directory.revision {
+func (d *Directory) rise(revision uint64) {
+	if revision <= d.revision {
 		return
 	}
-	directory.steps = append(directory.steps, step{from: directory.revision, to: revision})
-	directory.revision = revision
-	if len(directory.steps) > stepLimit {
-		directory.forgotten = max(directory.forgotten, directory.steps[0].to)
-		directory.steps = append(directory.steps[:0], directory.steps[1:]...)
+	d.steps = append(d.steps, step{from: d.revision, to: revision})
+	d.revision = revision
+	if len(d.steps) > stepLimit {
+		d.forgotten = max(d.forgotten, d.steps[0].to)
+		d.steps = append(d.steps[:0], d.steps[1:]...)
 	}
 }
 
 // between tells whether a revision lies inside of a step.
-func (directory *Directory) between(revision uint64) bool {
-	for _, step := range directory.steps {
+func (d *Directory) between(revision uint64) bool {
+	for _, step := range d.steps {
 		if step.from < revision && revision < step.to {
 			return true
 		}
@@ -133,54 +133,54 @@
 // time: who knows what held at the start of a step has the same content, and who
 // saw something in between gets a complete batch. A late batch, one that is older
 // than what is known, brings no entry back: had it lasted, it would be known.
-func (directory *Directory) merge(change *apiv1.DirectoryChange, late bool, now time.Time) bool {
+func (d *Directory) merge(change *apiv1.DirectoryChange, late bool, now time.Time) bool {
 	key := KeyOf(change)
 	if key.Kind == KindNone || change.GetRevision() == Unreadable {
 		return false
 	}
-	known := directory.entries[key]
+	known := d.entries[key]
 	if late && !change.GetGone() && (known == nil || known.change.GetGone()) {
-		return known == nil && directory.addTombstone(key, change, now)
+		return known == nil && d.addTombstone(key, change, now)
 	}
 	if known == nil {
 		made := &entry{change: change, seen: !change.GetGone()}
 		if change.GetGone() {
 			made.goneAt = now
 		}
-		directory.entries[key] = made
-		directory.note(key, made)
+		d.entries[key] = made
+		d.note(key, made)
 		return true
 	}
 	if change.GetRevision() <= known.change.GetRevision() {
 		return false
 	}
 	if change.GetGone() {
-		return directory.bury(key, known, change.GetRevision(), now)
+		return d.bury(key, known, change.GetRevision(), now)
 	}
 	same := !known.change.GetGone() && sameContent(known.change, change)
 	known.change = change
 	known.goneAt = time.Time{}
 	known.seen = true
 	if !same {
-		directory.note(key, known)
+		d.note(key, known)
 	}
 	return !same
 }
 
 // note puts the content of an entry into the log.
-func (directory *Directory) note(key Key, known *entry) {
+func (d *Directory) note(key Key, known *entry) {
 	known.logged = known.change.GetRevision()
-	directory.log.add(known.logged, key)
+	d.log.add(known.logged, key)
 }
 
 // bury turns an entry into a tombstone that keeps what the entry last held.
-func (directory *Directory) bury(key Key, known *entry, revision uint64, now time.Time) bool {
+func (d *Directory) bury(key Key, known *entry, revision uint64, now time.Time) bool {
 	wasGone := known.change.GetGone()
 	buried := proto.CloneOf(known.change)
 	buried.Revision = revision
 	buried.Gone = true
 	known.change = buried
-	directory.note(key, known)
+	d.note(key, known)
 	if !wasGone {
 		known.goneAt = now
 	}
@@ -189,13 +189,13 @@
 
 // addTombstone keeps what an entry held that is gone by now, so that its open
 // flows still find it.
-func (directory *Directory) addTombstone(key Key, change *apiv1.DirectoryChange, now time.Time) bool {
+func (d *Directory) addTombstone(key Key, change *apiv1.DirectoryChange, now time.Time) bool {
 	buried := proto.CloneOf(change)
-	buried.Revision = directory.revision
+	buried.Revision = d.revision
 	buried.Gone = true
 	made := &entry{change: buried, goneAt: now}
-	directory.entries[key] = made
-	directory.note(key, made)
+	d.entries[key] = made
+	d.note(key, made)
 	return true
 }
 
@@ -207,7 +207,7 @@
 // removeUnnamed buries the entries that a complete batch would have named if
 // they still existed. A tombstone in the batch names nothing: it may be older
 // than an entry that was made and removed again since.
-func (directory *Directory) removeUnnamed(batch *apiv1.DirectoryBatch, now time.Time) bool {
+func (d *Directory) removeUnnamed(batch *apiv1.DirectoryBatch, now time.Time) bool {
 	named := make(map[Key]bool, len(batch.GetChanges()))
 	for _, change := range batch.GetChanges() {
 		if !change.GetGone() {
@@ -215,25 +215,25 @@
 		}
 	}
 	changed := false
-	for key, known := range directory.entries {
+	for key, known := range d.entries {
 		if named[key] || known.change.GetGone() || known.change.GetRevision() > batch.GetRevision() {
 			continue
 		}
-		changed = directory.bury(key, known, batch.GetRevision(), now) || changed
+		changed = d.bury(key, known, batch.GetRevision(), now) || changed
 	}
 	return changed
 }
 
 // Expire drops tombstones that are older than the retention. It tells whether
 // any was dropped.
-func (directory *Directory) Expire(now time.Time) bool {
+func (d *Directory) Expire(now time.Time) bool {
 	dropped := false
-	for key, known := range directory.entries {
-		if !known.change.GetGone() || now.Sub(known.goneAt) < directory.retention {
+	for key, known := range d.entries {
+		if !known.change.GetGone() || now.Sub(known.goneAt) < d.retention {
 			continue
 		}
-		directory.forgotten = max(directory.forgotten, known.change.GetRevision())
-		delete(directory.entries, key)
+		d.forgotten = max(d.forgotten, known.change.GetRevision())
+		delete(d.entries, key)
 		dropped = true
 	}
 	return dropped
@@ -241,28 +241,28 @@
 
 // Since returns what changed after a revision. When the asker may know of
 // entries whose removal can't be told, or knows nothing, the batch is complete.
-func (directory *Directory) Since(after uint64) *apiv1.DirectoryBatch {
-	complete := after == 0 || after < directory.forgotten || directory.between(after)
-	batch := &apiv1.DirectoryBatch{Revision: directory.revision, Complete: complete}
+func (d *Directory) Since(after uint64) *apiv1.DirectoryBatch {
+	complete := after == 0 || after < d.forgotten || d.between(after)
+	batch := &apiv1.DirectoryBatch{Revision: d.revision, Complete: complete}
 	if complete {
-		for _, known := range directory.entries {
+		for _, known := range d.entries {
 			batch.Changes = append(batch.Changes, known.change)
 		}
 		return batch
 	}
-	for _, logged := range directory.log.since(after) {
-		known := directory.entries[logged.key]
+	for _, logged := range d.log.since(after) {
+		known := d.entries[logged.key]
 		if known != nil && known.logged == logged.revision {
 			batch.Changes = append(batch.Changes, known.change)
 		}
 	}
-	directory.log.compact(directory.entries)
+	d.log.compact(d.entries)
 	return batch
 }
 
 // Routes returns the table of routes, or nil while none is known.
-func (directory *Directory) Routes() *apiv1.RouteTable {
-	known := directory.entries[Key{Kind: KindRoutes}]
+func (d *Directory) Routes() *apiv1.RouteTable {
+	known := d.entries[Key{Kind: KindRoutes}]
 	if known == nil {
 		return nil
 	}
@@ -280,9 +280,9 @@
 }
 
 // Backends returns all back ends, those with a tombstone too, by id.
-func (directory *Directory) Backends() []BackendEntry {
+func (d *Directory) Backends() []BackendEntry {
 	var found []BackendEntry
-	for key, known := range directory.entries {
+	for key, known := range d.entries {
 		backend := known.change.GetBackend()
 		if key.Kind != KindBackend || backend.GetAddress() == 0 {
 			continue
@@ -298,9 +298,9 @@
 }
 
 // Balancers returns the balancers that have an entry, by name.
-func (directory *Directory) Balancers() []*apiv1.Balancer {
+func (d *Directory) Balancers() []*apiv1.Balancer {
 	var found []*apiv1.Balancer
-	for key, known := range directory.entries {
+	for key, known := range d.entries {
 		if key.Kind == KindBalancer && !known.change.GetGone() {
 			found = append(found, known.change.GetBalancer())
 		}
@@ -310,8 +310,8 @@
 }
 
 // Policy returns the policy of a name, or nil.
-func (directory *Directory) Policy(name string) *apiv1.Policy {
-	known := directory.entries[Key{Kind: KindPolicy, Name: name}]
+func (d *Directory) Policy(name string) *apiv1.Policy {
+	known := d.entries[Key{Kind: KindPolicy, Name: name}]
 	if known == nil || known.change.GetGone() {
 		return nil
 	}
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -99,31 +99,31 @@
 }
 
 // SetSeeds replaces the addresses to ask while no balancer is known.
-func (core *Core) SetSeeds(seeds []string) { core.config.Seeds = seeds }
+func (c *Core) SetSeeds(seeds []string) { c.config.Seeds = seeds }
 
 // SetBalancers takes the balancers that have an entry in the directory. While
 // they are few, all zones share one order, and so one reader.
-func (core *Core) SetBalancers(known []*apiv1.Balancer) {
-	core.order, core.others = nil, nil
-	core.order = append(core.order, core.config.Self)
-	few := len(known) <= core.config.SharedOrderLimit
+func (c *Core) SetBalancers(known []*apiv1.Balancer) {
+	c.order, c.others = nil, nil
+	c.order = append(c.order, c.config.Self)
+	few := len(known) <= c.config.SharedOrderLimit
 	for _, balancer := range known {
 		switch {
-		case balancer.GetName() == core.config.Self.GetName():
-		case few || balancer.GetZone() == core.config.Self.GetZone():
-			core.order = append(core.order, balancer)
+		case balancer.GetName() == c.config.Self.GetName():
+		case few || balancer.GetZone() == c.config.Self.GetZone():
+			c.order = append(c.order, balancer)
 		default:
-			core.others = append(core.others, balancer)
+			c.others = append(c.others, balancer)
 		}
 	}
-	byRank(core.order)
-	byRank(core.others)
+	byRank(c.order)
+	byRank(c.others)
 }
 
 // position is this balancer's place in its zone's order.
-func (core *Core) position() int {
-	for index, balancer := range core.order {
-		if balancer.GetName() == core.config.Self.GetName() {
+func (c *Core) position() int {
+	for index, balancer := range c.order {
+		if balancer.GetName() == c.config.Self.GetName() {
 			return index
 		}
 	}
@@ -131,46 +131,46 @@
 }
 
 // Reader tells whether this balancer reads the store for its zone.
-func (core *Core) Reader() bool { return core.position() == 0 }
+func (c *Core) Reader() bool { return c.position() == 0 }
 
 // Age is the time since the store confirmed what is known.
-func (core *Core) Age(now time.Time) (time.Duration, bool) {
-	if core.confirmedAt.IsZero() {
+func (c *Core) Age(now time.Time) (time.Duration, bool) {
+	if c.confirmedAt.IsZero() {
 		return 0, false
 	}
-	return now.Sub(core.confirmedAt), true
+	return now.Sub(c.confirmedAt), true
 }
 
 // ConfirmedAt is when the store last confirmed what is known.
-func (core *Core) ConfirmedAt() time.Time { return core.confirmedAt }
+func (c *Core) ConfirmedAt() time.Time { return c.confirmedAt }
 
 // Stale tells whether the knowledge is too old to rely on others for it.
-func (core *Core) Stale(now time.Time) bool {
-	age, known := core.Age(now)
-	return !known || age > core.config.StaleAfter
+func (c *Core) Stale(now time.Time) bool {
+	age, known := c.Age(now)
+	return !known || age > c.config.StaleAfter
 }
 
 // Confirm takes that the store has confirmed everything as of a time. It tells
 // whether that is later than what was known.
-func (core *Core) Confirm(asOf time.Time) bool {
-	if !asOf.After(core.confirmedAt) {
+func (c *Core) Confirm(asOf time.Time) bool {
+	if !asOf.After(c.confirmedAt) {
 		return false
 	}
-	core.confirmedAt = asOf
+	c.confirmedAt = asOf
 	return true
 }
 
 // NextPoll returns the call to make to the store now.
-func (core *Core) NextPoll(now time.Time) Poll {
-	if now.Before(core.nextPoll) || !core.Reader() && !core.Stale(now) {
+func (c *Core) NextPoll(now time.Time) Poll {
+	if now.Before(c.nextPoll) || !c.Reader() && !c.Stale(now) {
 		return PollNone
 	}
 	switch {
-	case !core.large:
+	case !c.large:
 		return PollPage
-	case core.confirmedAt.IsZero() && !core.elected() && now.Before(core.patienceUntil):
+	case c.confirmedAt.IsZero() && !c.elected() && now.Before(c.patienceUntil):
 		return PollNone
-	case core.confirmedAt.IsZero() || !now.Before(core.nextSnapshot):
+	case c.confirmedAt.IsZero() || !now.Before(c.nextSnapshot):
 		return PollSnapshot
 	}
 	return PollChanges
@@ -178,42 +178,42 @@
 
 // elected tells whether this balancer is known to be the reader, and does not
 // only believe so because it knows no other.
-func (core *Core) elected() bool {
-	if !core.Reader() {
+func (c *Core) elected() bool {
+	if !c.Reader() {
 		return false
 	}
-	if len(core.order) > 1 || len(core.config.Seeds) == 0 {
+	if len(c.order) > 1 || len(c.config.Seeds) == 0 {
 		return true
 	}
-	return slices.Contains(core.config.Seeds, core.config.Self.GetPeerAddress())
+	return slices.Contains(c.config.Seeds, c.config.Self.GetPeerAddress())
 }
 
 // PollStarted spaces the next call from the start of this one.
-func (core *Core) PollStarted(poll Poll, now time.Time) {
-	core.nextPoll = now.Add(core.config.PollInterval)
+func (c *Core) PollStarted(poll Poll, now time.Time) {
+	c.nextPoll = now.Add(c.config.PollInterval)
 	switch poll {
 	case PollChanges:
-		core.nextPoll = now.Add(changesPause)
+		c.nextPoll = now.Add(changesPause)
 	case PollSnapshot:
-		half := core.config.AuditInterval / 2
-		core.nextSnapshot = now.Add(half + time.Duration(core.chance.Int64N(int64(half)+1)))
+		half := c.config.AuditInterval / 2
+		c.nextSnapshot = now.Add(half + time.Duration(c.chance.Int64N(int64(half)+1)))
 	case PollNone, PollPage:
 	}
 }
 
 // PollSucceeded ends a back-off. A first page that was not all makes the store
 // a large one, which is then looked at again at once.
-func (core *Core) PollSucceeded(poll Poll, complete bool, now time.Time) {
-	core.failures = 0
-	if poll == PollPage && core.large == complete {
-		core.large = !complete
-		core.nextPoll = now
+func (c *Core) PollSucceeded(poll Poll, complete bool, now time.Time) {
+	c.failures = 0
+	if poll == PollPage && c.large == complete {
+		c.large = !complete
+		c.nextPoll = now
 	}
 }
 
 // HistoryLost makes the next call a snapshot: the store no longer has the
 // changes after what is known.
-func (core *Core) HistoryLost(now time.Time) { core.nextSnapshot = now }
+func (c *Core) HistoryLost(now time.Time) { c.nextSnapshot = now }
 
 // firstBackoff is the pause after one failed call; it doubles with each.
 const firstBackoff = 100 * time.Millisecond
@@ -228,15 +228,15 @@
 
 // PollFailed spaces the next call to the store after a failure: twice as long
 // each time, half of it by chance, so that balancers do not call together.
-func (core *Core) PollFailed(now time.Time) {
-	limit := core.config.BackoffLimit
-	if core.confirmedAt.IsZero() && core.failures < eagerFailures {
+func (c *Core) PollFailed(now time.Time) {
+	limit := c.config.BackoffLimit
+	if c.confirmedAt.IsZero() && c.failures < eagerFailures {
 		limit = eagerLimit
 	}
-	pause := min(firstBackoff<<min(core.failures, 10), limit)
-	core.failures++
+	pause := min(firstBackoff<<min(c.failures, 10), limit)
+	c.failures++
 	half := pause / 2
-	core.nextPoll = now.Add(half + time.Duration(core.chance.Int64N(int64(half)+1)))
+	c.nextPoll = now.Add(half + time.Duration(c.chance.Int64N(int64(half)+1)))
 }
 
 // Peer is a balancer to follow next.
@@ -249,53 +249,53 @@
 
 // NextPeer returns the balancer to follow now. The reader follows one only
 // until it has been told everything once, and while its own knowledge is stale.
-func (core *Core) NextPeer(now time.Time) (Peer, bool) {
-	if core.Reader() && core.caughtUp && !core.Stale(now) {
+func (c *Core) NextPeer(now time.Time) (Peer, bool) {
+	if c.Reader() && c.caughtUp && !c.Stale(now) {
 		return Peer{}, false
 	}
-	for _, address := range core.candidates() {
-		if address == core.config.Self.GetPeerAddress() || now.Before(core.paused[address]) {
+	for _, address := range c.candidates() {
+		if address == c.config.Self.GetPeerAddress() || now.Before(c.paused[address]) {
 			continue
 		}
-		return Peer{Address: address, Everything: !core.caughtUp}, true
+		return Peer{Address: address, Everything: !c.caughtUp}, true
 	}
 	return Peer{}, false
 }
 
 // candidates are the addresses to follow, the best first: the parent, its
 // parents, the rest of the zone, other zones, and the seeds.
-func (core *Core) candidates() []string {
+func (c *Core) candidates() []string {
 	var addresses []string
-	place := core.position()
+	place := c.position()
 	for place > 0 {
-		place = (place - 1) / core.config.TreeWidth
-		addresses = append(addresses, core.order[place].GetPeerAddress())
+		place = (place - 1) / c.config.TreeWidth
+		addresses = append(addresses, c.order[place].GetPeerAddress())
 	}
-	for _, balancer := range core.order {
+	for _, balancer := range c.order {
 		addresses = append(addresses, balancer.GetPeerAddress())
 	}
-	for _, balancer := range core.others {
+	for _, balancer := range c.others {
 		addresses = append(addresses, balancer.GetPeerAddress())
 	}
-	return append(addresses, core.config.Seeds...)
+	return append(addresses, c.config.Seeds...)
 }
 
 // PeerAnswered takes a peer's answer: its knowledge was confirmed as of a time.
 // A peer that is itself stale is passed over for a while, and one that knows
 // nothing has yet to be asked for everything.
-func (core *Core) PeerAnswered(peer Peer, asOf, now time.Time) {
-	stale := now.Sub(asOf) > core.config.StaleAfter
+func (c *Core) PeerAnswered(peer Peer, asOf, now time.Time) {
+	stale := now.Sub(asOf) > c.config.StaleAfter
 	switch {
-	case stale && core.confirmedAt.IsZero():
-		core.paused[peer.Address] = now.Add(eagerPause)
+	case stale && c.confirmedAt.IsZero():
+		c.paused[peer.Address] = now.Add(eagerPause)
 	case stale:
-		core.paused[peer.Address] = now.Add(core.config.PeerPause)
+		c.paused[peer.Address] = now.Add(c.config.PeerPause)
 	default:
-		core.caughtUp = true
+		c.caughtUp = true
 	}
 }
 
 // PeerFailed passes a peer over for a while.
-func (core *Core) PeerFailed(peer Peer, now time.Time) {
-	core.paused[peer.Address] = now.Add(core.config.PeerPause)
+func (c *Core) PeerFailed(peer Peer, now time.Time) {
+	c.paused[peer.Address] = now.Add(c.config.PeerPause)
 }
--- a/internal/replication/peers.go
+++ b/internal/replication/peers.go
@@ -53,8 +53,8 @@
 
 // Follow calls the balancer at an address. A call that fails or takes too long
 // closes the connection.
-func (client *Client) Follow(ctx context.Context, address string, request *apiv1.FollowRequest) (*apiv1.FollowReply, error) {
-	connection, err := client.connect(ctx, address)
+func (c *Client) Follow(ctx context.Context, address string, request *apiv1.FollowRequest) (*apiv1.FollowReply, error) {
+	connection, err := c.connect(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -67,41 +67,41 @@
 		err = Unpack(reply.GetBatch())
 	}
 	if err != nil {
-		client.Close()
+		c.Close()
 		return nil, errors.Wrapf(err, "peer %s: follow", address)
 	}
 	return reply, nil
 }
 
-func (client *Client) connect(ctx context.Context, address string) (*drpcconn.Conn, error) {
-	client.mutex.Lock()
-	defer client.mutex.Unlock()
-	if client.connection != nil && client.address == address {
-		return client.connection, nil
+func (c *Client) connect(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.connection != nil && c.address == address {
+		return c.connection, nil
 	}
-	client.closeLocked()
+	c.closeLocked()
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	socket, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "peer %s: dial", address)
 	}
-	client.address, client.connection = address, drpcconn.New(socket)
-	return client.connection, nil
+	c.address, c.connection = address, drpcconn.New(socket)
+	return c.connection, nil
 }
 
 // Close closes the connection; the next call opens one.
-func (client *Client) Close() {
-	client.mutex.Lock()
-	defer client.mutex.Unlock()
-	client.closeLocked()
+func (c *Client) Close() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.closeLocked()
 }
 
-func (client *Client) closeLocked() {
-	if client.connection == nil {
+func (c *Client) closeLocked() {
+	if c.connection == nil {
 		return
 	}
-	if err := client.connection.Close(); err != nil {
-		client.logger.Debug("Connection did not close cleanly.", "peer", client.address, "error", err)
+	if err := c.connection.Close(); err != nil {
+		c.logger.Debug("Connection did not close cleanly.", "peer", c.address, "error", err)
 	}
-	client.connection = nil
+	c.connection = nil
 }
--- a/internal/tokenroute/decide.go
+++ b/internal/tokenroute/decide.go
@@ -54,7 +54,7 @@
 }
 
 // String names the reason as logs and metrics do.
-func (reason Reason) String() string { return reasonNames[reason] }
+func (r Reason) String() string { return reasonNames[r] }
 
 // ReasonCount is the number of reasons, for counters.
 const ReasonCount = int(reasonCount)
@@ -69,13 +69,13 @@
 // Decide decides one packet by a table, which may be nil while nothing is
 // known. An open flow is refused only when its own back end is known to be
 // dead: what one balancer does not know of an open flow, another one may.
-func (flows *Flows) Decide(table *Table, packet Packet, now time.Time) Decision {
+func (f *Flows) Decide(table *Table, packet Packet, now time.Time) Decision {
 	if table == nil {
 		return Decision{Verdict: Drop, Reason: ReasonNoTable}
 	}
 	route := table.Route(packet.Key.Address())
 	if packet.First {
-		return flows.decideFirst(route, packet, now)
+		return f.decideFirst(route, packet, now)
 	}
 	if route == nil {
 		return Decision{Verdict: Drop, Reason: ReasonNoRoute}
@@ -87,8 +87,8 @@
 	if named == nil {
 		return Decision{Verdict: Drop, Reason: ReasonUnknownToken}
 	}
-	chosen := flows.Next(packet.Key, named, now)
-	if flows.liveness.Observe(packet, chosen, now) {
+	chosen := f.Next(packet.Key, named, now)
+	if f.liveness.Observe(packet, chosen, now) {
 		return Decision{Verdict: Refuse, Reason: ReasonDeadBackend, Backend: chosen}
 	}
 	if chosen != named {
@@ -97,11 +97,11 @@
 	return Decision{Verdict: Forward, Reason: ReasonToken, Backend: named}
 }
 
-func (flows *Flows) decideFirst(route *Route, packet Packet, now time.Time) Decision {
+func (f *Flows) decideFirst(route *Route, packet Packet, now time.Time) Decision {
 	if route == nil {
 		return Decision{Verdict: Refuse, Reason: ReasonNoRoute}
 	}
-	chosen := flows.First(route, packet.Key, now)
+	chosen := f.First(route, packet.Key, now)
 	if chosen == nil {
 		return Decision{Verdict: Refuse, Reason: ReasonNoBackend}
 	}
--- a/internal/tokenroute/flows.go
+++ b/internal/tokenroute/flows.go
@@ -35,10 +35,10 @@
 	opened *Backend
 }
 
-func (opening *opening) last() *Backend { return opening.tried[opening.count-1] }
+func (o *opening) last() *Backend { return o.tried[o.count-1] }
 
-func (opening *opening) wasTried(backend *Backend) bool {
-	for _, tried := range opening.tried[:opening.count] {
+func (o *opening) wasTried(backend *Backend) bool {
+	for _, tried := range o.tried[:o.count] {
 		if tried.Number == backend.Number {
 			return true
 		}
@@ -88,23 +88,23 @@
 }
 
 // Verdicts is how often a back end was judged dead.
-func (flows *Flows) Verdicts() uint64 { return flows.liveness.Verdicts.Load() }
+func (f *Flows) Verdicts() uint64 { return f.liveness.Verdicts.Load() }
 
 // TakeAbandoned returns the flows whose back end was judged dead since the last
 // call, to be reset.
-func (flows *Flows) TakeAbandoned() []Abandoned {
-	taken := flows.liveness.abandoned
-	flows.liveness.abandoned = nil
+func (f *Flows) TakeAbandoned() []Abandoned {
+	taken := f.liveness.abandoned
+	f.liveness.abandoned = nil
 	return taken
 }
 
 // First returns the back end for the first packet of a flow, or a repetition
 // of it, or nil when the route has none. A repetition that comes before the
 // answer was due goes where the earlier one went.
-func (flows *Flows) First(route *Route, key flow.Key, now time.Time) *Backend {
-	flows.turn(now)
-	flows.collect(now)
-	known := flows.find(key)
+func (f *Flows) First(route *Route, key flow.Key, now time.Time) *Backend {
+	f.turn(now)
+	f.collect(now)
+	known := f.find(key)
 	if known != nil && known.opened != nil {
 		return known.opened
 	}
@@ -112,85 +112,85 @@
 		return known.last()
 	}
 	avoid := func(backend *Backend) bool {
-		if known != nil && known.wasTried(backend) || flows.liveness.Dead(backend, now) {
+		if known != nil && known.wasTried(backend) || f.liveness.Dead(backend, now) {
 			return true
 		}
-		state := flows.silent[backend.Number]
+		state := f.silent[backend.Number]
 		return state != nil && now.Before(state.avoidUntil)
 	}
 	chosen := route.Choose(key.Hash(), avoid)
 	if chosen == nil {
 		return nil
 	}
-	flows.remember(known, key, chosen, now)
+	f.remember(known, key, chosen, now)
 	return chosen
 }
 
-func (flows *Flows) remember(known *opening, key flow.Key, chosen *Backend, now time.Time) {
+func (f *Flows) remember(known *opening, key flow.Key, chosen *Backend, now time.Time) {
 	if known == nil {
 		known = &opening{}
-		if len(flows.current) < generationLimit {
-			flows.current[key] = known
+		if len(f.current) < generationLimit {
+			f.current[key] = known
 		}
 	} else {
-		flows.Retried.Add(1)
+		f.Retried.Add(1)
 	}
 	known.tried[known.count] = chosen
 	known.count++
 	known.sentAt = now
-	if len(flows.queue) < generationLimit {
-		flows.queue = append(flows.queue, waiting{opening: known, backend: chosen, sentAt: now})
+	if len(f.queue) < generationLimit {
+		f.queue = append(f.queue, waiting{opening: known, backend: chosen, sentAt: now})
 	}
 }
 
 // Next returns the back end for a later packet of a flow whose token names the
 // given back end.
-func (flows *Flows) Next(key flow.Key, named *Backend, now time.Time) *Backend {
-	flows.turn(now)
-	known := flows.find(key)
+func (f *Flows) Next(key flow.Key, named *Backend, now time.Time) *Backend {
+	f.turn(now)
+	known := f.find(key)
 	if known == nil {
 		return named
 	}
 	if known.opened == nil && known.wasTried(named) {
 		known.opened = named
-		delete(flows.silent, named.Number)
+		delete(f.silent, named.Number)
 	}
 	if known.count > 1 {
-		flows.current[key] = known
+		f.current[key] = known
 	}
 	if known.opened == nil || known.opened.Number == named.Number {
 		return named
 	}
-	flows.Kept.Add(1)
+	f.Kept.Add(1)
 	return known.opened
 }
 
-func (flows *Flows) find(key flow.Key) *opening {
-	if known := flows.current[key]; known != nil {
+func (f *Flows) find(key flow.Key) *opening {
+	if known := f.current[key]; known != nil {
 		return known
 	}
-	return flows.previous[key]
+	return f.previous[key]
 }
 
 // collect counts the back ends whose answers are overdue.
-func (flows *Flows) collect(now time.Time) {
+func (f *Flows) collect(now time.Time) {
 	due := 0
-	for due < len(flows.queue) && now.Sub(flows.queue[due].sentAt) >= AnswerTime {
-		flows.judge(flows.queue[due], now)
+	for due < len(f.queue) && now.Sub(f.queue[due].sentAt) >= AnswerTime {
+		f.judge(f.queue[due], now)
 		due++
 	}
-	flows.queue = flows.queue[:copy(flows.queue, flows.queue[due:])]
+	f.queue = f.queue[:copy(f.queue, f.queue[due:])]
 }
 
-func (flows *Flows) judge(due waiting, now time.Time) {
+func (f *Flows) judge(due waiting, now time.Time) {
 	if due.opening.opened != nil {
 		return
 	}
-	flows.Missed.Add(1)
-	state := flows.silent[due.backend.Number]
+	f.Missed.Add(1)
+	state := f.silent[due.backend.Number]
 	if state == nil {
 		state = &silence{}
-		flows.silent[due.backend.Number] = state
+		f.silent[due.backend.Number] = state
 	}
 	avoid := min(avoidShortest<<state.misses, avoidLongest)
 	if avoid < avoidLongest {
@@ -200,15 +200,15 @@
 }
 
 // turn drops the older generation when the current one is old enough.
-func (flows *Flows) turn(now time.Time) {
-	if now.Sub(flows.turnedAt) < generationTime {
+func (f *Flows) turn(now time.Time) {
+	if now.Sub(f.turnedAt) < generationTime {
 		return
 	}
-	flows.turnedAt = now
-	flows.previous, flows.current = flows.current, make(map[flow.Key]*opening)
-	for number, state := range flows.silent {
+	f.turnedAt = now
+	f.previous, f.current = f.current, make(map[flow.Key]*opening)
+	for number, state := range f.silent {
 		if now.Sub(state.avoidUntil) > avoidLongest {
-			delete(flows.silent, number)
+			delete(f.silent, number)
 		}
 	}
 }
--- a/internal/tokenroute/liveness.go
+++ b/internal/tokenroute/liveness.go
@@ -318,9 +318,9 @@
 }
 
 // latest is when anything was last learned of the back end.
-func (judged *judgement) latest() time.Time {
-	latest := judged.provenAt
-	for _, at := range []time.Time{judged.promptAt, judged.troubledAt} {
+func (j *judgement) latest() time.Time {
+	latest := j.provenAt
+	for _, at := range []time.Time{j.promptAt, j.troubledAt} {
 		if at.After(latest) {
 			latest = at
 		}
--- a/internal/tokenroute/table.go
+++ b/internal/tokenroute/table.go
@@ -120,14 +120,14 @@
 }
 
 // Route returns the route of an address, or nil.
-func (table *Table) Route(address flow.Address) *Route { return table.routes[address] }
+func (t *Table) Route(address flow.Address) *Route { return t.routes[address] }
 
 // Routes is the number of routes.
-func (table *Table) Routes() int { return len(table.routes) }
+func (t *Table) Routes() int { return len(t.routes) }
 
 // Resolve returns the back end that a token names on a route, or nil.
-func (table *Table) Resolve(route *Route, token Token) *Backend {
-	sharing := table.tokens[token]
+func (t *Table) Resolve(route *Route, token Token) *Backend {
+	sharing := t.tokens[token]
 	for _, backend := range sharing {
 		if route.admitted[backend.Pool] {
 			return backend
@@ -140,16 +140,16 @@
 }
 
 // Known tells whether a token names a back end of any pool.
-func (table *Table) Known(token Token) bool { return len(table.tokens[token]) > 0 }
+func (t *Table) Known(token Token) bool { return len(t.tokens[token]) > 0 }
 
 // Choose returns the back end for a new flow, or nil when the route has none.
 // Back ends for which avoid answers true are taken only when there is no other.
-func (route *Route) Choose(hash uint64, avoid func(*Backend) bool) *Backend {
-	index := route.shares.Pick(hash)
+func (r *Route) Choose(hash uint64, avoid func(*Backend) bool) *Backend {
+	index := r.shares.Pick(hash)
 	if index == rule.NoBackend {
 		return nil
 	}
-	chosen := route.pools[index-1]
+	chosen := r.pools[index-1]
 	picked := chosen.rule.PickExcept(hash, func(candidate uint32) bool {
 		return avoid(chosen.backends[candidate-1])
 	})
@@ -202,15 +202,15 @@
 	}
 }
 
-func (builder *builder) route(configured *apiv1.ServiceRoute, former map[string]bool) *Route {
-	made := &Route{Name: configured.GetName(), admitted: make(map[string]bool), admitAll: builder.options.AdmitAll}
+func (b *builder) route(configured *apiv1.ServiceRoute, former map[string]bool) *Route {
+	made := &Route{Name: configured.GetName(), admitted: make(map[string]bool), admitAll: b.options.AdmitAll}
 	for name := range former {
 		made.admitted[name] = true
 	}
 	var candidates []rule.Candidate
 	for _, share := range configured.GetPools() {
 		made.admitted[share.GetPool()] = true
-		made.pools = append(made.pools, builder.pool(share.GetPool()))
+		made.pools = append(made.pools, b.pool(share.GetPool()))
 		candidates = append(candidates, rule.Candidate{
 			Backend: uint32(len(made.pools)),
 			Weight:  share.GetWeight(),
@@ -220,22 +220,22 @@
 	return made
 }
 
-func (builder *builder) pool(name string) *pool {
-	if made := builder.pools[name]; made != nil {
+func (b *builder) pool(name string) *pool {
+	if made := b.pools[name]; made != nil {
 		return made
 	}
 	made := &pool{name: name}
 	var candidates []rule.Candidate
-	for _, entry := range builder.eligible(name) {
-		made.backends = append(made.backends, builder.made[entry.GetId()])
+	for _, entry := range b.eligible(name) {
+		made.backends = append(made.backends, b.made[entry.GetId()])
 		candidates = append(candidates, rule.Candidate{
 			Backend:  uint32(len(made.backends)),
-			Weight:   builder.options.Weigh(entry),
+			Weight:   b.options.Weigh(entry),
 			Identity: entry.GetNumber(),
 		})
 	}
 	made.rule = rule.New(name, flow.Address{}, salt(name), candidates)
-	builder.pools[name] = made
+	b.pools[name] = made
 	return made
 }
 
@@ -243,14 +243,14 @@
 // of a pool vanishes at once without a notice, the likelier cause is that the
 // store dropped the entries, not that the back ends ended; those may then be
 // used a little longer.
-func (builder *builder) eligible(pool string) []directory.BackendEntry {
+func (b *builder) eligible(pool string) []directory.BackendEntry {
 	var ready, vanished []directory.BackendEntry
-	for _, entry := range builder.entries[pool] {
+	for _, entry := range b.entries[pool] {
 		switch {
-		case entry.GetDraining() || !builder.holdsToken(entry):
+		case entry.GetDraining() || !b.holdsToken(entry):
 		case !entry.Gone:
 			ready = append(ready, entry)
-		case builder.options.Now.Sub(entry.VanishedAt) < builder.options.LapseGrace:
+		case b.options.Now.Sub(entry.VanishedAt) < b.options.LapseGrace:
 			vanished = append(vanished, entry)
 		}
 	}
@@ -263,8 +263,8 @@
 
 // holdsToken tells whether the back end is the first of its pool to have its
 // token.
-func (builder *builder) holdsToken(entry directory.BackendEntry) bool {
-	for _, backend := range builder.tokens[TokenOf(entry.GetNumber())] {
+func (b *builder) holdsToken(entry directory.BackendEntry) bool {
+	for _, backend := range b.tokens[TokenOf(entry.GetNumber())] {
 		if backend.Pool == entry.GetPool() {
 			return backend.ID == entry.GetId()
 		}
