--- a/cmd/balancer/main.go
+++ b/cmd/balancer/main.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/netip"
 	"os"
@@ -20,6 +19,7 @@
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/asynclog"
 	"github.com/indigobarrow/indigobarrow/internal/balancer"
+	"github.com/indigobarrow/indigobarrow/internal/logging"
 	"github.com/indigobarrow/indigobarrow/internal/settings"
 	"github.com/indigobarrow/indigobarrow/platform"
 )
@@ -82,7 +82,9 @@
 	}
 	lines := asynclog.New(os.Stdout)
 	defer lines.Close(logCloseLimit)
-	logger, level := newLogger(loaded, lines)
+	logger, level := logging.New(lines, logging.Options{
+		Level: loaded.GetLogLevel(), Format: loaded.GetLogFormat(), Node: loaded.GetName(),
+	})
 	made, err := balancer.New(loaded, outside(loaded, logger), logger)
 	if err != nil {
 		return err
@@ -114,14 +116,3 @@
 
 // logCloseLimit is how long the last lines may take.
 const logCloseLimit = time.Second
-
-func newLogger(loaded *apiv1.BalancerSettings, output io.Writer) (*slog.Logger, *slog.LevelVar) {
-	level := new(slog.LevelVar)
-	_ = level.UnmarshalText([]byte(loaded.GetLogLevel()))
-	options := &slog.HandlerOptions{Level: level}
-	var handler slog.Handler = slog.NewTextHandler(output, options)
-	if loaded.GetLogFormat() == "json" {
-		handler = slog.NewJSONHandler(output, options)
-	}
-	return slog.New(handler).With("node", loaded.GetName()), level
-}
--- a/cmd/indigobarrow/node.go
+++ b/cmd/indigobarrow/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"maps"
 	"os"
 	"slices"
@@ -13,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/logging"
 	"github.com/indigobarrow/indigobarrow/internal/node"
 	"github.com/indigobarrow/indigobarrow/internal/settings"
 )
@@ -53,17 +53,6 @@
 	return settings.Load(command.String("settings"), overrides)
 }
 
-func newLogger(loaded *apiv1.NodeSettings) (*slog.Logger, *slog.LevelVar) {
-	level := new(slog.LevelVar)
-	_ = level.UnmarshalText([]byte(loaded.GetLogLevel()))
-	options := &slog.HandlerOptions{Level: level}
-	var handler slog.Handler = slog.NewTextHandler(os.Stderr, options)
-	if loaded.GetLogFormat() == "json" {
-		handler = slog.NewJSONHandler(os.Stderr, options)
-	}
-	return slog.New(handler).With("node", loaded.GetId()), level
-}
-
 func nodeCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "node",
@@ -84,7 +73,9 @@
 	if err != nil {
 		return err
 	}
-	logger, level := newLogger(loaded)
+	logger, level := logging.New(os.Stderr, logging.Options{
+		Level: loaded.GetLogLevel(), Format: loaded.GetLogFormat(), Node: loaded.GetId(),
+	})
 	made, err := node.New(loaded, logger, level)
 	if err != nil {
 		return err
