Go on with a lease after a start, and end it only by the store's word

A renewal that failed in an outage of the store ended the lease in our books, so that every balancer took a new one afterwards.

Ruled out: no leases at all, since entries of balancers that are gone would stay.

Change: the directory carries the lease of each balancer's entry; a balancer that starts again and finds its own entry still true renews that lease. Only an answer that there is no such lease ends one.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -46,7 +46,7 @@
 	Routes(ctx context.Context) (*apiv1.DirectoryBatch, error)
 	// Lease asks for a lease and returns its number.
 	Lease(ctx context.Context, length time.Duration) (uint64, error)
-	// Renew renews a lease.
+	// Renew renews a lease. It returns ErrLeaseOver when there is none.
 	Renew(ctx context.Context, lease uint64) error
 	// Announce writes the entry of a balancer under a lease.
 	Announce(ctx context.Context, balancer *apiv1.Balancer, lease uint64) error
@@ -56,6 +56,9 @@
 // changes that were asked for.
 var ErrHistoryLost = errors.New("the store no longer has these changes")
 
+// ErrLeaseOver is what Store.Renew returns when the lease has ended.
+var ErrLeaseOver = errors.New("the lease is over")
+
 // Outside is what a balancer needs of the world that it runs in.
 type Outside struct {
 	Codec Codec
@@ -76,12 +79,14 @@
 	// confirmedAt is when the store confirmed what is known, in nanoseconds
 	// since the start; 0 is never.
 	confirmedAt atomic.Int64
-	storeCalls  callCounts
-	peerCalls   callCounts
-	control     *control
-	traffic     *traffic
-	peers       net.Listener
-	probes      net.Listener
+	// announced is the entry of this balancer as the directory has it.
+	announced  atomic.Pointer[apiv1.Balancer]
+	storeCalls callCounts
+	peerCalls  callCounts
+	control    *control
+	traffic    *traffic
+	peers      net.Listener
+	probes     net.Listener
 }
 
 // New opens the sockets of a balancer.
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -190,7 +190,9 @@
 	}
 	if c.known.Apply(news.GetBatch(), now) {
 		c.rebuild = true
-		c.core.SetBalancers(c.known.Balancers())
+		balancers := c.known.Balancers()
+		c.core.SetBalancers(balancers)
+		c.balancer.noteAnnounced(balancers)
 	}
 	// A batch without a revision is a part of what the store holds, or comes
 	// from a peer that knows nothing itself.
