--- a/internal/tokenroute/liveness_test.go
+++ b/internal/tokenroute/liveness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -266,3 +267,43 @@
 	require.Empty(t, liveness.previous)
 	require.Empty(t, liveness.judged)
 }
+
+// BenchmarkObserve is the cost of following a request and its acknowledgement.
+func BenchmarkObserve(b *testing.B) {
+	table := manyBackends(200)
+	liveness := NewLiveness()
+	backend := NewFlows().Decide(table, first(1), start).Backend
+	number := uint32(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		number++
+		packet := request(byte(number), 2, number)
+		packet.Key.SourcePort = uint16(number % 14000)
+		liveness.Observe(packet, backend, start)
+		packet.Length = 0
+		packet.Acknowledged++
+		liveness.Observe(packet, backend, start)
+	}
+}
+
+// BenchmarkLivenessMemory is the memory of the flows that one balancer follows
+// at the size of two years: 170 million flows over 12,000 balancers.
+func BenchmarkLivenessMemory(b *testing.B) {
+	const flows = 170_000_000 / 12_000
+	backend := NewFlows().Decide(manyBackends(3), first(1), start).Backend
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		liveness := NewLiveness()
+		for port := range flows {
+			packet := request(1, 2, 1)
+			packet.Key.SourcePort = uint16(port)
+			liveness.Observe(packet, backend, start)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/flows, "B/flow")
+		runtime.KeepAlive(liveness)
+	}
+}
