--- a/internal/tokenroute/liveness.go
+++ b/internal/tokenroute/liveness.go
@@ -86,13 +86,15 @@
 // A flow of such a back end can only wait for its client's deadline, so the
 // client is better told at once: with the verdict on the flows that passed here
 // lately, even those that wait for nothing yet, so that their next request opens
-// a flow to a living back end; later on the flows that ask. Since a reset that hits a living back end
-// breaks a flow, every doubt counts for the back end: any acknowledgement that
-// is newer than the unanswered requests drops them, copies that did not pass
-// through this balancer do not count, and a verdict ends by itself unless the
-// directory too says that the back end is gone. A balancer whose own link is
-// full loses the requests to all its back ends; so there is no verdict unless
-// others answered promptly meanwhile, promptRatio times as many as did not.
+// a flow to a living back end; later on the flows that ask.
+//
+// Since a reset that hits a living back end breaks a flow, every doubt counts for
+// the back end: any acknowledgement that is newer than the unanswered requests
+// drops them, copies that did not pass through this balancer do not count, and a
+// verdict ends by itself unless the directory too says that the back end is gone.
+// A balancer whose own link is full loses the requests to all its back ends; so
+// there is no verdict unless others answered promptly meanwhile, promptRatio
+// times as many as did not.
 //
 // It belongs to one traffic goroutine.
 type Liveness struct {
