--- a/internal/balancer/metrics.go
+++ b/internal/balancer/metrics.go
@@ -37,7 +37,7 @@
 	faultyDescription = prometheus.NewDesc("indigobarrow_balancer_faulty_packets_total",
 		"Datagrams that were malformed or could not be sent.", []string{"cause"}, nil)
 	flowsDescription = prometheus.NewDesc("indigobarrow_balancer_flow_events_total",
-		"First packets sent again to another back end, and back ends that did not answer in time.", []string{"event"}, nil)
+		"First packets sent again to another back end, back ends that did not answer in time, and back ends judged dead.", []string{"event"}, nil)
 	callsDescription = prometheus.NewDesc("indigobarrow_balancer_calls_total",
 		"Calls to the store and to peers by outcome.", []string{"to", "outcome"}, nil)
 	ageDescription = prometheus.NewDesc("indigobarrow_balancer_knowledge_age_seconds",
@@ -69,6 +69,7 @@
 	counter(faultyDescription, traffic.failed.Load(), "not_sent")
 	counter(flowsDescription, traffic.flows.Retried.Load(), "retried")
 	counter(flowsDescription, traffic.flows.Missed.Load(), "not_answered")
+	counter(flowsDescription, traffic.flows.Verdicts(), "backend_dead")
 	counter(callsDescription, balancer.storeCalls.answered.Load(), "store", "answered")
 	counter(callsDescription, balancer.storeCalls.failed.Load(), "store", "failed")
 	counter(callsDescription, balancer.peerCalls.answered.Load(), "peer", "answered")
--- a/internal/tokenroute/decide.go
+++ b/internal/tokenroute/decide.go
@@ -12,6 +12,11 @@
 	// First is set on the packet that opens a flow.
 	First bool
 	Token Token
+	// Sequence, Acknowledged and Length are those of the packet's data.
+	Sequence, Acknowledged uint32
+	Length                 uint16
+	// Closing is set on packets that end their flow.
+	Closing bool
 }
 
 // Verdict is what happens to a packet.
@@ -21,7 +26,7 @@
 const (
 	// Forward: the packet goes to the back end.
 	Forward Verdict = iota
-	// Refuse: the client is told at once that the flow can't be opened.
+	// Refuse: the client is told at once that the flow can't be served.
 	Refuse
 	// Drop: the packet is dropped without a word; its sender repeats it.
 	Drop
@@ -40,11 +45,12 @@
 	ReasonNoBackend
 	ReasonUnknownToken
 	ReasonForeignToken
+	ReasonDeadBackend
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
-	"token", "kept", "new_flow", "no_table", "no_route", "no_backend", "unknown_token", "foreign_token",
+	"token", "kept", "new_flow", "no_table", "no_route", "no_backend", "unknown_token", "foreign_token", "dead_backend",
 }
 
 // String names the reason as logs and metrics do.
@@ -61,8 +67,8 @@
 }
 
 // Decide decides one packet by a table, which may be nil while nothing is
-// known. Only a flow that is not open is ever refused: what one balancer does
-// not know of an open flow, another one may.
+// known. An open flow is refused only when its own back end is known to be
+// dead: what one balancer does not know of an open flow, another one may.
 func (flows *Flows) Decide(table *Table, packet Packet, now time.Time) Decision {
 	if table == nil {
 		return Decision{Verdict: Drop, Reason: ReasonNoTable}
@@ -82,6 +88,9 @@
 		return Decision{Verdict: Drop, Reason: ReasonUnknownToken}
 	}
 	chosen := flows.Next(packet.Key, named, now)
+	if flows.liveness.Observe(packet, chosen, now) {
+		return Decision{Verdict: Refuse, Reason: ReasonDeadBackend, Backend: chosen}
+	}
 	if chosen != named {
 		return Decision{Verdict: Forward, Reason: ReasonKept, Backend: chosen}
 	}
--- a/internal/tokenroute/flows.go
+++ b/internal/tokenroute/flows.go
@@ -66,6 +66,8 @@
 	turnedAt          time.Time
 	queue             []waiting
 	silent            map[uint64]*silence
+	// liveness judges back ends by the later packets of their flows.
+	liveness *Liveness
 	// Retried counts first packets that went to another back end.
 	Retried atomic.Uint64
 	// Missed counts back ends that did not answer in time.
@@ -81,9 +83,13 @@
 		current:  make(map[flow.Key]*opening),
 		previous: make(map[flow.Key]*opening),
 		silent:   make(map[uint64]*silence),
+		liveness: NewLiveness(),
 	}
 }
 
+// Verdicts is how often a back end was judged dead.
+func (flows *Flows) Verdicts() uint64 { return flows.liveness.Verdicts.Load() }
+
 // First returns the back end for the first packet of a flow, or a repetition
 // of it, or nil when the route has none. A repetition that comes before the
 // answer was due goes where the earlier one went.
@@ -98,7 +104,7 @@
 		return known.last()
 	}
 	avoid := func(backend *Backend) bool {
-		if known != nil && known.wasTried(backend) {
+		if known != nil && known.wasTried(backend) || flows.liveness.Dead(backend, now) {
 			return true
 		}
 		state := flows.silent[backend.Number]
--- /dev/null
+++ b/internal/tokenroute/liveness.go
@@ -0,0 +1,243 @@
+package tokenroute
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/indigobarrow/indigobarrow/internal/flow"
+)
+
+// The pace of the judgement on back ends.
+const (
+	// repeatPause is how far apart two copies of a packet must have been
+	// forwarded for the later one to count as a repetition. A stalled balancer
+	// that reads several copies at once thus counts one.
+	repeatPause = 150 * time.Millisecond
+	// repeatsForWitness is how often a request must have been repeated for its
+	// flow to speak against the back end: clients repeat after 200 and 600 ms,
+	// and a back end that is well answers the first repetition at the latest.
+	repeatsForWitness = 2
+	// witnessesNeeded is how many clients must speak against a back end that
+	// the directory has; one is enough when its entry is gone.
+	witnessesNeeded = 2
+	// verdictTime is how long a verdict lasts without a new witness. It stays
+	// well below the time for which a disruption excuses a reset.
+	verdictTime = 2 * time.Second
+	// trackTime is how long a flow's last request is remembered at least.
+	trackTime = 3 * time.Second
+	// trackLimit bounds the flows remembered in one generation, and the back
+	// ends judged at a time.
+	trackLimit = 32768
+)
+
+// clientAddress is the address of a client.
+type clientAddress [4]byte
+
+// track is the oldest unanswered packet with data of one flow, as far as it
+// passed here.
+type track struct {
+	sequence, acknowledged uint32
+	// passedAt is when a packet of the flow last passed, sentAt when the
+	// request did first, and repeatedAt when its last counted copy did.
+	passedAt, sentAt, repeatedAt time.Time
+	repeats                      int
+}
+
+// judgement is what speaks against a back end.
+type judgement struct {
+	// provenAt is the latest time at which the back end is known to have sent
+	// something.
+	provenAt time.Time
+	// witnesses are the clients whose requests stayed unanswered, with the time
+	// at which each request was first sent.
+	witnesses map[clientAddress]time.Time
+	// deadUntil is when the verdict ends unless there is another witness.
+	deadUntil time.Time
+}
+
+// Liveness tells back ends that have fallen silent by the packets of their
+// clients. The balancer sees no answers, since back ends send them straight to
+// the clients; but a client repeats what was not acknowledged, and acknowledges
+// what it received. A request that was repeated twice, from two clients, while
+// no client acknowledged anything newer, means that the back end is gone.
+//
+// A flow of such a back end can only wait for its client's deadline, so the
+// client is better told at once. Since a reset that hits a living back end
+// breaks a flow, every doubt counts for the back end: any acknowledgement that
+// is newer than the unanswered requests drops them, copies that did not pass
+// through this balancer do not count, and a verdict ends by itself unless the
+// directory too says that the back end is gone.
+//
+// It belongs to one traffic goroutine.
+type Liveness struct {
+	current, previous map[flow.Key]*track
+	turnedAt          time.Time
+	judged            map[uint64]*judgement
+	// Verdicts counts the verdicts that back ends are dead.
+	Verdicts atomic.Uint64
+}
+
+// NewLiveness makes a memory in which nothing speaks against any back end.
+func NewLiveness() *Liveness {
+	return &Liveness{
+		current:  make(map[flow.Key]*track),
+		previous: make(map[flow.Key]*track),
+		judged:   make(map[uint64]*judgement),
+	}
+}
+
+// Observe takes a later packet of a flow that goes to a back end, and tells
+// whether the back end counts as dead for it. Only packets with data are ever
+// answered with true: the others ask for nothing.
+func (l *Liveness) Observe(packet Packet, backend *Backend, now time.Time) bool {
+	l.turn(now)
+	if packet.Closing {
+		return false
+	}
+	if packet.Length == 0 {
+		l.prove(backend, now)
+		return false
+	}
+	l.observeData(packet, backend, now)
+	return l.Dead(backend, now)
+}
+
+// observeData follows the oldest unanswered packet of a flow. A packet that
+// acknowledges more than the one before proves that the back end lived when
+// that one passed, at least.
+func (l *Liveness) observeData(packet Packet, backend *Backend, now time.Time) {
+	known := l.find(packet.Key)
+	switch {
+	case known == nil:
+		l.follow(packet, now)
+	case known.acknowledged != packet.Acknowledged:
+		l.prove(backend, known.passedAt)
+		l.follow(packet, now)
+	case known.sequence == packet.Sequence:
+		known.passedAt = now
+		l.repeat(known, packet, backend, now)
+	default:
+		known.passedAt = now
+	}
+}
+
+func (l *Liveness) follow(packet Packet, now time.Time) {
+	if len(l.current) >= trackLimit {
+		return
+	}
+	l.current[packet.Key] = &track{
+		sequence: packet.Sequence, acknowledged: packet.Acknowledged,
+		passedAt: now, sentAt: now, repeatedAt: now,
+	}
+}
+
+// repeat counts a copy of an unanswered packet and lets its client speak
+// against the back end when there were enough.
+func (l *Liveness) repeat(known *track, packet Packet, backend *Backend, now time.Time) {
+	if now.Sub(known.repeatedAt) < repeatPause {
+		return
+	}
+	known.repeats++
+	known.repeatedAt = now
+	if known.repeats >= repeatsForWitness {
+		l.accuse(backend, clientAddress(packet.Key.Source), known.sentAt, now)
+	}
+}
+
+func (l *Liveness) accuse(backend *Backend, client clientAddress, sentAt, now time.Time) {
+	judged := l.judged[backend.Number]
+	if judged == nil {
+		if len(l.judged) >= trackLimit {
+			return
+		}
+		judged = &judgement{}
+		l.judged[backend.Number] = judged
+	}
+	if !sentAt.After(judged.provenAt) {
+		return
+	}
+	if judged.witnesses == nil {
+		judged.witnesses = make(map[clientAddress]time.Time)
+	}
+	judged.witnesses[client] = sentAt
+	if len(judged.witnesses) < witnessesNeeded && !backend.Gone {
+		return
+	}
+	if !now.Before(judged.deadUntil) {
+		l.Verdicts.Add(1)
+	}
+	judged.deadUntil = now.Add(verdictTime)
+}
+
+// prove takes that a back end lived at a time. Requests sent until then no
+// longer speak against it, and a verdict that rests on them ends.
+func (l *Liveness) prove(backend *Backend, livedAt time.Time) {
+	judged := l.judged[backend.Number]
+	if judged == nil {
+		if len(l.judged) >= trackLimit {
+			return
+		}
+		judged = &judgement{}
+		l.judged[backend.Number] = judged
+	}
+	if !livedAt.After(judged.provenAt) {
+		return
+	}
+	judged.provenAt = livedAt
+	for client, sentAt := range judged.witnesses {
+		if !sentAt.After(livedAt) {
+			delete(judged.witnesses, client)
+		}
+	}
+	if len(judged.witnesses) == 0 {
+		judged.deadUntil = time.Time{}
+	}
+}
+
+// Dead tells whether a back end counts as dead. The verdict on one whose entry
+// is gone stays until something proves the opposite.
+func (l *Liveness) Dead(backend *Backend, now time.Time) bool {
+	judged := l.judged[backend.Number]
+	if judged == nil || judged.deadUntil.IsZero() {
+		return false
+	}
+	return backend.Gone || now.Before(judged.deadUntil)
+}
+
+func (l *Liveness) find(key flow.Key) *track {
+	if known := l.current[key]; known != nil {
+		return known
+	}
+	known := l.previous[key]
+	if known != nil && len(l.current) < trackLimit {
+		l.current[key] = known
+	}
+	return known
+}
+
+// turn drops the flows that did not pass for a generation, and the judgements
+// that have nothing left to say.
+func (l *Liveness) turn(now time.Time) {
+	if now.Sub(l.turnedAt) < trackTime {
+		return
+	}
+	l.turnedAt = now
+	l.previous, l.current = l.current, make(map[flow.Key]*track)
+	for number, judged := range l.judged {
+		l.forgetWitnesses(judged, now)
+		if len(judged.witnesses) == 0 && now.Sub(judged.provenAt) > trackTime {
+			delete(l.judged, number)
+		}
+	}
+}
+
+// witnessTime is how long an unanswered request speaks against a back end.
+const witnessTime = time.Minute
+
+func (l *Liveness) forgetWitnesses(judged *judgement, now time.Time) {
+	for client, sentAt := range judged.witnesses {
+		if now.Sub(sentAt) > witnessTime {
+			delete(judged.witnesses, client)
+		}
+	}
+}
--- /dev/null
+++ b/internal/tokenroute/liveness_test.go
@@ -0,0 +1,204 @@
+package tokenroute
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/indigobarrow/indigobarrow/internal/flow"
+)
+
+// request is a packet with data of a client's flow: its n-th request.
+func request(client byte, token Token, n uint32) Packet {
+	return Packet{Key: clientKey(client), Token: token, Sequence: 1000 * n, Acknowledged: 5000 * n, Length: 500}
+}
+
+// acknowledgement is a packet without data.
+func acknowledgement(client byte, token Token) Packet {
+	return Packet{Key: clientKey(client), Token: token, Sequence: 7, Acknowledged: 9}
+}
+
+func clientKey(client byte) flow.Key {
+	made := key(40000)
+	made.Source[3] = client
+	return made
+}
+
+// repeats are when clients send a packet again that nobody acknowledged.
+var repeats = []int{200, 600, 1400, 3000}
+
+// ask sends the first request of some clients to a back end that stays silent,
+// with all its repetitions up to a time, and returns the verdicts of the last
+// packet of each client.
+func ask(flows *Flows, table *Table, token Token, clients []byte, from, until int) []Verdict {
+	for _, pause := range append([]int{0}, repeats...) {
+		if pause > until {
+			break
+		}
+		for _, client := range clients {
+			flows.Decide(table, request(client, token, 1), at(from+pause))
+		}
+	}
+	var verdicts []Verdict
+	for _, client := range clients {
+		verdicts = append(verdicts, flows.Decide(table, request(client, token, 1), at(from+until)).Verdict)
+	}
+	return verdicts
+}
+
+// A back end that falls silent costs its clients their deadlines, unless they
+// are told: fleetbench days of crashes lost 181 and 200 requests so.
+func TestSilentBackendsFlowsAreReset(t *testing.T) {
+	table, flows := manyBackends(3), NewFlows()
+	require.Equal(t, []Verdict{Forward, Forward}, ask(flows, table, 2, []byte{1, 2}, 0, 200), "one repetition says little")
+	require.Equal(t, []Verdict{Refuse, Refuse}, ask(flows, table, 2, []byte{1, 2}, 0, 600))
+	told := flows.Decide(table, request(3, 2, 1), at(700))
+	require.Equal(t, Refuse, told.Verdict, "a request of another flow is told at once")
+	require.Equal(t, ReasonDeadBackend, told.Reason)
+	require.Equal(t, Forward, flows.Decide(table, request(4, 3, 1), at(700)).Verdict, "other back ends are not touched")
+	require.Equal(t, Forward, flows.Decide(table, acknowledgement(5, 2), at(700)).Verdict, "what asks for nothing passes")
+}
+
+func TestDeadBackendsTakeNoNewFlows(t *testing.T) {
+	table, flows := manyBackends(3), NewFlows()
+	ask(flows, table, 2, []byte{1, 2}, 0, 600)
+	for port := range 200 {
+		require.NotEqual(t, Token(2), flows.Decide(table, first(port), at(700)).Backend.Token)
+	}
+}
+
+func TestOneClientIsNoWitnessUnlessTheEntryIsGone(t *testing.T) {
+	table := manyBackends(3)
+	require.Equal(t, []Verdict{Forward}, ask(NewFlows(), table, 2, []byte{1}, 0, 3000))
+	all := known(routes(1, route(1, share("lending", 1))), gone(backend(2, 2, "lending")), backend(3, 3, "lending"))
+	require.Equal(t, []Verdict{Refuse}, ask(NewFlows(), NewTable(all, options()), 2, []byte{1}, 0, 600))
+}
+
+func TestAnyNewerAnswerClearsABackend(t *testing.T) {
+	table, flows := manyBackends(3), NewFlows()
+	flows.Decide(table, request(9, 2, 1), at(0))
+	ask(flows, table, 2, []byte{1, 2}, 10, 200)
+	flows.Decide(table, request(9, 2, 2), at(300))
+	require.Equal(t, []Verdict{Refuse, Refuse}, ask(flows, table, 2, []byte{1, 2}, 10, 600),
+		"that answer may be older than the requests that wait")
+	flows.Decide(table, acknowledgement(8, 2), at(650))
+	require.Equal(t, Forward, flows.Decide(table, request(1, 2, 1), at(700)).Verdict)
+	require.Equal(t, Forward, flows.Decide(table, request(3, 2, 1), at(700)).Verdict)
+}
+
+func TestAnsweredRequestProvesTheTimeBeforeIt(t *testing.T) {
+	table, flows := manyBackends(3), NewFlows()
+	ask(flows, table, 2, []byte{1, 2}, 0, 200)
+	flows.Decide(table, request(9, 2, 1), at(300))
+	flows.Decide(table, request(9, 2, 2), at(500))
+	require.Equal(t, []Verdict{Forward, Forward}, ask(flows, table, 2, []byte{1, 2}, 0, 600),
+		"a request sent later was answered")
+}
+
+// A balancer that was stalled reads the copies of a packet together. They say
+// nothing, since the back end never had the time to answer.
+func TestCopiesReadTogetherCountOnce(t *testing.T) {
+	table, flows := manyBackends(3), NewFlows()
+	for range 5 {
+		for client := range byte(5) {
+			require.Equal(t, Forward, flows.Decide(table, request(client, 2, 1), at(0)).Verdict)
+		}
+	}
+	for range 5 {
+		for client := range byte(5) {
+			require.Equal(t, Forward, flows.Decide(table, request(client, 2, 1), at(5000)).Verdict)
+		}
+	}
+}
+
+func TestVerdictEndsUnlessTheEntryIsGone(t *testing.T) {
+	table, flows := manyBackends(3), NewFlows()
+	ask(flows, table, 2, []byte{1, 2}, 0, 600)
+	require.Equal(t, Refuse, flows.Decide(table, request(3, 2, 1), at(2500)).Verdict)
+	require.Equal(t, Forward, flows.Decide(table, request(3, 2, 1), at(2700)).Verdict)
+	all := known(routes(1, route(1, share("lending", 1))), gone(backend(2, 2, "lending")), backend(3, 3, "lending"))
+	require.Equal(t, Refuse, flows.Decide(NewTable(all, options()), request(4, 2, 1), at(2700)).Verdict)
+	require.Equal(t, Refuse, flows.Decide(NewTable(all, options()), request(4, 2, 1), at(30_000)).Verdict)
+}
+
+// modelClient is a client of a back end that lives: it repeats a request until
+// the answer comes, and sends the next one a while later.
+type modelClient struct {
+	n, repeats       uint32
+	sentAt, answerAt int
+	lossLeft         bool
+}
+
+const never = int(^uint(0) >> 1)
+
+// send returns whether the client sends a packet at a time, the next request
+// or a copy of the last one.
+func (c *modelClient) send(now, think int) bool {
+	switch {
+	case c.n == 0 || now >= c.answerAt+think:
+		*c = modelClient{n: c.n + 1, sentAt: now, answerAt: never, lossLeft: true}
+		return true
+	case now < c.answerAt && int(c.repeats) < len(repeats) && now-c.sentAt >= repeats[c.repeats]:
+		c.repeats++
+		return true
+	}
+	return false
+}
+
+// Whatever the clients do, however the balancer stalls, and with one copy or
+// answer of each request lost, the flows of a back end that answers within
+// 140 ms are never reset.
+func TestLivingBackendsFlowsAreNeverReset(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, flows := manyBackends(3), NewFlows()
+		chance := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		clients := make([]modelClient, rapid.IntRange(1, 8).Draw(t, "clients"))
+		longestThink := rapid.IntRange(1, 3000).Draw(t, "longest pause")
+		stalls := rapid.IntRange(0, 3).Draw(t, "stalls a second")
+		stalledUntil := 0
+		var held []int
+		for now := 0; now < 20_000; now += 10 {
+			if chance.IntN(100) < stalls {
+				stalledUntil = max(stalledUntil, now+chance.IntN(3000))
+			}
+			for index := range clients {
+				if clients[index].send(now, chance.IntN(longestThink)) {
+					held = append(held, index)
+				}
+			}
+			if now < stalledUntil {
+				continue
+			}
+			for _, index := range held {
+				client := &clients[index]
+				packet := request(byte(index+1), 2, client.n)
+				require.Equal(t, Forward, flows.Decide(table, packet, at(now)).Verdict, "at %d ms", now)
+				if client.lossLeft && chance.IntN(10) == 0 {
+					client.lossLeft = false
+					continue
+				}
+				client.answerAt = min(client.answerAt, now+chance.IntN(140))
+			}
+			held = held[:0]
+		}
+	})
+}
+
+func TestLivenessMemoryIsBounded(t *testing.T) {
+	table, flows := manyBackends(3), NewFlows()
+	for port := range 60000 {
+		packet := request(1, 2, 1)
+		packet.Key = key(port)
+		flows.Decide(table, packet, at(port/100))
+	}
+	liveness := flows.liveness
+	require.LessOrEqual(t, len(liveness.current)+len(liveness.previous), 2*trackLimit)
+	liveness.turn(at(600_000))
+	liveness.turn(at(600_000 + int(trackTime/time.Millisecond)))
+	require.Empty(t, liveness.current)
+	require.Empty(t, liveness.previous)
+	require.Empty(t, liveness.judged)
+}
--- a/internal/tokenroute/table.go
+++ b/internal/tokenroute/table.go
@@ -34,6 +34,8 @@
 	Pool   string
 	Zone   string
 	Target netip.AddrPort
+	// Gone is set when the directory's entry of the back end was removed.
+	Gone bool
 }
 
 // Weigher gives the relative share of new flows that a back end of a pool
@@ -180,7 +182,7 @@
 	// Backends come in the order of their ids, so the first of a token's back
 	// ends is its holder.
 	for _, entry := range known.Backends() {
-		backend := newBackend(entry.PoolBackend)
+		backend := newBackend(entry)
 		builder.made[backend.ID] = backend
 		builder.tokens[backend.Token] = append(builder.tokens[backend.Token], backend)
 		builder.entries[backend.Pool] = append(builder.entries[backend.Pool], entry)
@@ -188,7 +190,7 @@
 	return builder
 }
 
-func newBackend(entry *apiv1.PoolBackend) *Backend {
+func newBackend(entry directory.BackendEntry) *Backend {
 	return &Backend{
 		ID:     entry.GetId(),
 		Number: entry.GetNumber(),
@@ -196,6 +198,7 @@
 		Pool:   entry.GetPool(),
 		Zone:   entry.GetZone(),
 		Target: netip.AddrPortFrom(netip.AddrFrom4(ipOf(entry.GetAddress())), uint16(entry.GetPort())),
+		Gone:   entry.Gone,
 	}
 }
 
