--- a/internal/tokenroute/liveness.go
+++ b/internal/tokenroute/liveness.go
@@ -17,6 +17,10 @@
 	// flow to speak against the back end: clients repeat after 200 and 600 ms,
 	// and a back end that is well answers the first repetition at the latest.
 	repeatsForWitness = 2
+	// repeatsForProof is how often a request must have been repeated for its
+	// flow alone to prove that the back end is dead. Where many balancers share
+	// the flows of many back ends, each sees one or none of a back end's.
+	repeatsForProof = 3
 	// witnessesNeeded is how many clients must speak against a back end that
 	// the directory has; one is enough when its entry is gone.
 	witnessesNeeded = 2
@@ -69,8 +73,9 @@
 // Liveness tells back ends that have fallen silent by the packets of their
 // clients. The balancer sees no answers, since back ends send them straight to
 // the clients; but a client repeats what was not acknowledged, and acknowledges
-// what it received. A request that was repeated twice, from two clients, while
-// no client acknowledged anything newer, means that the back end is gone.
+// what it received. A request that was repeated twice, from two clients, or three
+// times from one, while no client acknowledged anything newer, means that the
+// back end is gone.
 //
 // A flow of such a back end can only wait for its client's deadline, so the
 // client is better told at once: with the verdict on the flows that passed here
@@ -131,8 +136,8 @@
 		l.prove(backend, known.passedAt)
 		l.follow(packet, backend, now)
 	case known.sequence == packet.Sequence:
-		known.passedAt = now
-		l.repeat(known, packet, backend, now)
+		known.backend, known.passedAt = backend, now
+		l.repeat(known, packet, now)
 	default:
 		known.passedAt = now
 	}
@@ -151,18 +156,20 @@
 
 // repeat counts a copy of an unanswered packet and lets its client speak
 // against the back end when there were enough.
-func (l *Liveness) repeat(known *track, packet Packet, backend *Backend, now time.Time) {
+func (l *Liveness) repeat(known *track, packet Packet, now time.Time) {
 	if now.Sub(known.repeatedAt) < repeatPause {
 		return
 	}
 	known.repeats++
 	known.repeatedAt = now
 	if known.repeats >= repeatsForWitness {
-		l.accuse(backend, clientAddress(packet.Key.Source), known.sentAt, now)
+		l.accuse(known, clientAddress(packet.Key.Source), now)
 	}
 }
 
-func (l *Liveness) accuse(backend *Backend, client clientAddress, sentAt, now time.Time) {
+// accuse lets a client speak against the back end of its flow.
+func (l *Liveness) accuse(known *track, client clientAddress, now time.Time) {
+	backend := known.backend
 	judged := l.judged[backend.Number]
 	if judged == nil {
 		if len(l.judged) >= trackLimit {
@@ -171,14 +178,15 @@
 		judged = &judgement{}
 		l.judged[backend.Number] = judged
 	}
-	if !sentAt.After(judged.provenAt) {
+	if !known.sentAt.After(judged.provenAt) {
 		return
 	}
 	if judged.witnesses == nil {
 		judged.witnesses = make(map[clientAddress]time.Time)
 	}
-	judged.witnesses[client] = sentAt
-	if len(judged.witnesses) < witnessesNeeded && !backend.Gone {
+	judged.witnesses[client] = known.sentAt
+	proven := backend.Gone || known.repeats >= repeatsForProof || len(judged.witnesses) >= witnessesNeeded
+	if !proven {
 		return
 	}
 	if !now.Before(judged.deadUntil) {
