Tell balancers that know less, and seek those that are not heard

Cause: a balancer that starts knows its seeds only. While the store is silent and the seeds have started too, nobody it can ask knows anything; those that do know call it, learn nothing, and tell nothing, because a call never looked at what the caller knows.

Now each call carries the caller's address. Who is called and knows less asks the caller; who knows something calls balancers that it has not heard of late, the one whose last try is longest ago, at a pace that does not depend on their number; who knows nothing asks three at once and names its callers.

TestKnowledgeOutlivesItsKnowers fails on the code before; TestKnowledgeSpreadsInAnOutage fails without telling back and without seeking.

--- a/internal/balancer/calls.go
+++ b/internal/balancer/calls.go
@@ -67,21 +67,43 @@
 	c.publish(ctx, &apiv1.DirectoryNews{Batch: batch, Check: true}, err)
 }
 
-// follow asks a peer for news once. What the peer knew was confirmed no later
-// than its age before the answer left, and the answer left no earlier than the
-// call did plus the time that it waited there.
-func (c *control) follow(ctx context.Context, peer replication.Peer, after uint64, age time.Duration) {
+// startCalls starts the calls to other balancers that are due.
+func (c *control) startCalls(ctx context.Context, now time.Time) {
+	c.core.SetSeeds(c.balancer.settings.Load().GetSeeds())
+	for {
+		peer, found := c.core.NextPeer(now)
+		if !found {
+			return
+		}
+		age, known := c.core.Age(now)
+		if !known {
+			age = unknownAge
+		}
+		go c.call(ctx, peer, c.known.Revision(), age)
+	}
+}
+
+// call asks a peer for news once, and shows it what is known here. What the
+// peer knew was confirmed no later than its age before the answer left, and the
+// answer left no earlier than the call did plus the time that it waited there.
+func (c *control) call(ctx context.Context, peer replication.Peer, after uint64, age time.Duration) {
 	sent := time.Now()
+	settings := c.balancer.settings.Load()
 	request := &apiv1.FollowRequest{
-		From:             c.balancer.settings.Load().GetName(),
-		After:            after,
-		WaitMilliseconds: uint32(followWait.Milliseconds()),
-		AgeMilliseconds:  uint32(age.Milliseconds()),
+		From:            settings.GetName(),
+		FromAddress:     settings.GetPeerAddress(),
+		After:           after,
+		AgeMilliseconds: uint32(age.Milliseconds()),
 	}
 	if peer.Everything {
-		request.After, request.WaitMilliseconds = 0, 0
+		request.After = 0
+	}
+	if peer.Waits() {
+		request.WaitMilliseconds = uint32(followWait.Milliseconds())
 	}
-	reply, err := c.client.Follow(ctx, peer.Address, request)
+	client, done := c.clientFor(peer.Purpose)
+	defer done()
+	reply, err := client.Follow(ctx, peer.Address, request)
 	c.balancer.peerCalls.count(err)
 	left := sent.Add(time.Duration(reply.GetWaitedMilliseconds()) * time.Millisecond)
 	asOf := left.Add(-time.Duration(reply.GetAgeMilliseconds()) * time.Millisecond)
@@ -90,9 +112,22 @@
 		AsOfNanoseconds: int64(asOf.Sub(c.balancer.started)),
 		Peer:            peer.Address,
 		Everything:      peer.Everything,
+		Purpose:         uint32(peer.Purpose),
+		Callers:         reply.GetCallers(),
 	}, err)
 }
 
+// clientFor returns the client for a call, and what to do with it afterwards.
+// The connection to the balancer that is followed is kept; calls for other
+// purposes seldom meet the same balancer twice.
+func (c *control) clientFor(purpose replication.Purpose) (*replication.Client, func()) {
+	if purpose == replication.PurposeFollow {
+		return c.client, func() {}
+	}
+	client := replication.NewClient(c.balancer.logger)
+	return client, client.Close
+}
+
 func (c *control) publish(ctx context.Context, news *apiv1.DirectoryNews, failure error) {
 	if failure != nil {
 		news.Error = failure.Error()
@@ -105,6 +140,7 @@
 
 // follower is a call of another balancer that waits for news.
 type follower struct {
+	caller  replication.Caller
 	after   uint64
 	takenAt time.Time
 	// confirmedAt is when the follower's own knowledge was confirmed.
@@ -113,6 +149,18 @@
 	// takesPacked tells whether the follower understands packed tables.
 	takesPacked bool
 	reply       chan *apiv1.FollowReply
+	// gone is closed when the follower's connection has ended.
+	gone <-chan struct{}
+}
+
+// hasGone tells whether nobody waits for the answer any more.
+func (f *follower) hasGone() bool {
+	select {
+	case <-f.gone:
+		return true
+	default:
+		return false
+	}
 }
 
 // errBusy is what a balancer with too many followers answers.
@@ -121,15 +169,23 @@
 // Follow implements replication.Handler. It runs in the goroutine of the call.
 func (c *control) Follow(ctx context.Context, request *apiv1.FollowRequest) (*apiv1.FollowReply, error) {
 	now := time.Now()
+	age := time.Duration(request.GetAgeMilliseconds()) * time.Millisecond
 	asking := &follower{
+		caller: replication.Caller{
+			Address:     request.GetFromAddress(),
+			Knows:       age < unknownAge,
+			Revision:    request.GetAfter(),
+			ConfirmedAt: now.Add(-age),
+		},
 		after:   request.GetAfter(),
 		takenAt: now,
 
-		confirmedAt: now.Add(-time.Duration(request.GetAgeMilliseconds()) * time.Millisecond),
+		confirmedAt: now.Add(-age),
 
 		until:       now.Add(time.Duration(request.GetWaitMilliseconds()) * time.Millisecond),
 		takesPacked: request.GetTakesPacked(),
 		reply:       make(chan *apiv1.FollowReply, 1),
+		gone:        ctx.Done(),
 	}
 	select {
 	case c.followers <- asking:
@@ -146,6 +202,7 @@
 
 // take lets a follower wait, or answers it at once when there is no room.
 func (c *control) take(asking *follower) {
+	c.core.Called(asking.caller, c.known.Revision(), asking.takenAt)
 	if len(c.waiting) >= followersLimit {
 		asking.until = asking.takenAt
 	}
@@ -157,9 +214,11 @@
 func (c *control) answerWaiting(now time.Time) {
 	kept := c.waiting[:0]
 	for _, asking := range c.waiting {
-		if !c.answer(asking, now) {
-			kept = append(kept, asking)
+		if asking.hasGone() || c.answer(asking, now) {
+			continue
 		}
+		c.core.Heard(asking.caller.Address, now)
+		kept = append(kept, asking)
 	}
 	clear(c.waiting[len(kept):])
 	c.waiting = kept
@@ -181,6 +240,7 @@
 	}
 	if !known {
 		reply.AgeMilliseconds = uint32(unknownAge.Milliseconds())
+		reply.Callers = c.core.Callers()
 	}
 	asking.reply <- reply
 	return true
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -50,7 +50,6 @@
 	followers chan *follower
 	waiting   []*follower
 	polling   bool
-	following bool
 	// former are the pools that addresses had, and when they last had them.
 	former   map[flow.Address]map[string]time.Time
 	firstAt  time.Time
@@ -120,17 +119,7 @@
 // tick starts the calls that are due, answers followers and renews the table.
 func (c *control) tick(ctx context.Context, now time.Time) {
 	c.startPoll(ctx, now)
-	if !c.following {
-		c.core.SetSeeds(c.balancer.settings.Load().GetSeeds())
-		if peer, found := c.core.NextPeer(now); found {
-			c.following = true
-			age, known := c.core.Age(now)
-			if !known {
-				age = unknownAge
-			}
-			go c.follow(ctx, peer, c.known.Revision(), age)
-		}
-	}
+	c.startCalls(ctx, now)
 	c.answerWaiting(now)
 	if c.known.Expire(now) {
 		c.rebuild = true
@@ -181,8 +170,7 @@
 		c.polling = false
 		c.pollEnded(news, now)
 	default:
-		c.following = false
-		c.followEnded(news, asOf, now)
+		c.callEnded(news, asOf, now)
 	}
 	if news.GetError() != "" {
 		c.balancer.logger.Debug("Control: call failed.", "peer", news.GetPeer(), "error", news.GetError())
@@ -213,13 +201,18 @@
 	}
 }
 
-func (c *control) followEnded(news *apiv1.DirectoryNews, asOf, now time.Time) {
-	peer := replication.Peer{Address: news.GetPeer(), Everything: news.GetEverything()}
+func (c *control) callEnded(news *apiv1.DirectoryNews, asOf, now time.Time) {
+	peer := replication.Peer{
+		Address:    news.GetPeer(),
+		Purpose:    replication.Purpose(news.GetPurpose()),
+		Everything: news.GetEverything(),
+	}
 	if news.GetError() != "" {
 		c.core.PeerFailed(peer, now)
 		return
 	}
 	c.core.PeerAnswered(peer, asOf, now)
+	c.core.Learned(news.GetCallers())
 }
 
 // renewTable builds the table that packets are decided by.
--- /dev/null
+++ b/internal/replication/call.go
@@ -0,0 +1,173 @@
+package replication
+
+import "time"
+
+// Purpose is why another balancer is called. All purposes use the same call;
+// they differ in whom they call, how many are under way, and whether they wait.
+type Purpose uint8
+
+// The purposes.
+const (
+	// PurposeFollow waits for news at the balancer that this one follows.
+	PurposeFollow Purpose = iota
+	// PurposeAsk: a balancer that knows nothing asks several others at once,
+	// and waits at those that know nothing either.
+	PurposeAsk
+	// PurposeFetch brings what another balancer has shown to know.
+	PurposeFetch
+	// PurposeTell shows a balancer that was not heard of late what is known
+	// here. One that knows less then fetches it.
+	PurposeTell
+	purposeCount
+)
+
+// callLimits bound the calls of each purpose that are under way at once.
+var callLimits = [purposeCount]int{PurposeFollow: 1, PurposeAsk: 3, PurposeFetch: 1, PurposeTell: 4}
+
+// Peer is a balancer to call next.
+type Peer struct {
+	Address string
+	Purpose Purpose
+	// Everything is set until a peer has told all that it holds, tombstones
+	// too, which the store does not have.
+	Everything bool
+}
+
+// Waits tells whether the call may wait at the peer until there is news.
+func (p Peer) Waits() bool {
+	switch p.Purpose {
+	case PurposeFollow:
+		return !p.Everything
+	case PurposeAsk:
+		return true
+	case PurposeFetch, PurposeTell:
+	}
+	return false
+}
+
+// callKey names a call under way.
+type callKey struct {
+	address string
+	purpose Purpose
+}
+
+// NextPeer returns the next balancer to call, and counts the call as under way
+// until PeerAnswered or PeerFailed.
+func (c *Core) NextPeer(now time.Time) (Peer, bool) {
+	for purpose, next := range []func(time.Time) (string, bool){
+		PurposeFollow: c.nextFollow,
+		PurposeAsk:    c.nextAsk,
+		PurposeFetch:  c.nextFetch,
+		PurposeTell:   c.nextTell,
+	} {
+		purpose := Purpose(purpose)
+		if c.underWay[purpose] >= callLimits[purpose] {
+			continue
+		}
+		address, found := next(now)
+		if !found {
+			continue
+		}
+		c.calls[callKey{address, purpose}] = true
+		c.underWay[purpose]++
+		return Peer{Address: address, Purpose: purpose, Everything: !c.caughtUp && purpose != PurposeTell}, true
+	}
+	return Peer{}, false
+}
+
+// callEnded takes a call off those under way.
+func (c *Core) callEnded(peer Peer) {
+	key := callKey{peer.Address, peer.Purpose}
+	if !c.calls[key] {
+		return
+	}
+	delete(c.calls, key)
+	c.underWay[peer.Purpose]--
+}
+
+// nextFollow returns the balancer to follow. The reader follows one only until
+// it has been told everything once, and while its own knowledge is stale.
+func (c *Core) nextFollow(now time.Time) (string, bool) {
+	if !c.knows() || c.Reader() && c.caughtUp && !c.Stale(now) {
+		return "", false
+	}
+	return c.firstFree(c.candidates(), PurposeFollow, now)
+}
+
+// nextAsk returns a balancer to ask while nothing is known here: one that is
+// known by now, a seed, or one that called.
+func (c *Core) nextAsk(now time.Time) (string, bool) {
+	if c.knows() {
+		return "", false
+	}
+	return c.firstFree(append(c.candidates(), c.callers...), PurposeAsk, now)
+}
+
+// firstFree returns the first of the addresses that is not passed over and not
+// being called for the same purpose.
+func (c *Core) firstFree(addresses []string, purpose Purpose, now time.Time) (string, bool) {
+	for _, address := range addresses {
+		if address == c.config.Self.GetPeerAddress() || now.Before(c.paused[address]) || c.calls[callKey{address, purpose}] {
+			continue
+		}
+		return address, true
+	}
+	return "", false
+}
+
+// candidates are the addresses to follow, the best first: the parent, its
+// parents, the rest of the zone, other zones, and the seeds.
+func (c *Core) candidates() []string {
+	var addresses []string
+	place := c.place
+	for place > 0 {
+		place = c.parentOf(place)
+		addresses = append(addresses, c.order[place].GetPeerAddress())
+	}
+	for _, balancer := range c.order {
+		addresses = append(addresses, balancer.GetPeerAddress())
+	}
+	for _, balancer := range c.others {
+		addresses = append(addresses, balancer.GetPeerAddress())
+	}
+	return append(addresses, c.config.Seeds...)
+}
+
+// parentOf is the place in the order that a later place follows.
+func (c *Core) parentOf(place int) int { return (place - 1) / c.config.TreeWidth }
+
+// PeerAnswered takes a peer's answer: its knowledge was confirmed as of a time.
+// A peer that is itself stale is passed over for a while, and one that knows
+// nothing has yet to be asked for everything.
+func (c *Core) PeerAnswered(peer Peer, asOf, now time.Time) {
+	c.callEnded(peer)
+	c.Heard(peer.Address, now)
+	if peer.Purpose == PurposeTell {
+		c.told(asOf)
+		return
+	}
+	stale := now.Sub(asOf) > c.config.StaleAfter
+	switch {
+	case stale && !c.knows():
+		c.paused[peer.Address] = now.Add(eagerPause)
+	case stale:
+		c.paused[peer.Address] = now.Add(c.config.PeerPause)
+	default:
+		c.caughtUp = true
+		c.alone = c.alone && peer.Purpose != PurposeFollow
+	}
+}
+
+// PeerFailed passes a peer over for a while, a short one while nothing is known
+// here: it may be starting at this moment, as this balancer is.
+func (c *Core) PeerFailed(peer Peer, now time.Time) {
+	c.callEnded(peer)
+	switch {
+	case peer.Purpose == PurposeTell:
+		c.tellPause = max(c.tellPause/2, tellShortest)
+	case !c.knows():
+		c.paused[peer.Address] = now.Add(eagerPause)
+	default:
+		c.paused[peer.Address] = now.Add(c.config.PeerPause)
+	}
+}
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -1,6 +1,7 @@
 package replication
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -81,6 +82,27 @@
 	// peers.
 	patienceUntil time.Time
 	paused        map[string]time.Time
+	// place is this balancer's place in the order.
+	place int
+	// calls are those to other balancers that are under way, and underWay how
+	// many there are of each purpose.
+	calls    map[callKey]bool
+	underWay [purposeCount]int
+	// contacts are the other balancers by address.
+	contacts map[string]*contact
+	// hints are addresses of balancers that have shown to know more, callers
+	// of those that called while nothing was known here.
+	hints, callers []string
+	// knownAt is when something was first known here.
+	knownAt    time.Time
+	nextTellAt time.Time
+	tellPause  time.Duration
+	// alone is set when this balancer had to read the store although another one
+	// should have, until it follows one again that has younger knowledge.
+	alone bool
+	// returnedAt is when the store was back after an outage: the first
+	// confirmation after knowledge had gone stale.
+	returnedAt time.Time
 	// caughtUp is set once a peer has told everything that it holds. From then
 	// on, what is new after a revision is enough, whoever tells it.
 	caughtUp bool
@@ -95,6 +117,9 @@
 		patienceUntil: now.Add(patience),
 		nextSnapshot:  now.Add(config.AuditInterval),
 		paused:        make(map[string]time.Time),
+		calls:         make(map[callKey]bool),
+		contacts:      make(map[string]*contact),
+		tellPause:     tellShortest,
 	}
 }
 
@@ -118,20 +143,26 @@
 	}
 	byRank(c.order)
 	byRank(c.others)
+	c.place = slices.IndexFunc(c.order, func(balancer *apiv1.Balancer) bool {
+		return balancer.GetName() == c.config.Self.GetName()
+	})
+	c.forgetContacts(known)
 }
 
-// position is this balancer's place in its zone's order.
-func (c *Core) position() int {
-	for index, balancer := range c.order {
-		if balancer.GetName() == c.config.Self.GetName() {
-			return index
-		}
+// forgetContacts drops what is noted of balancers that have no entry.
+func (c *Core) forgetContacts(known []*apiv1.Balancer) {
+	if len(c.contacts) <= 2*len(known)+callersLimit {
+		return
+	}
+	listed := make(map[string]bool, len(known))
+	for _, balancer := range known {
+		listed[balancer.GetPeerAddress()] = true
 	}
-	return 0
+	maps.DeleteFunc(c.contacts, func(address string, _ *contact) bool { return !listed[address] })
 }
 
 // Reader tells whether this balancer reads the store for its zone.
-func (c *Core) Reader() bool { return c.position() == 0 }
+func (c *Core) Reader() bool { return c.place == 0 }
 
 // Age is the time since the store confirmed what is known.
 func (c *Core) Age(now time.Time) (time.Duration, bool) {
@@ -156,10 +187,17 @@
 	if !asOf.After(c.confirmedAt) {
 		return false
 	}
+	if c.knows() && asOf.Sub(c.confirmedAt) > c.config.StaleAfter {
+		c.returnedAt = asOf
+	}
 	c.confirmedAt = asOf
 	return true
 }
 
+// ReturnedAt is when the store was back after the last outage that this
+// balancer has seen; the zero time is never.
+func (c *Core) ReturnedAt() time.Time { return c.returnedAt }
+
 // NextPoll returns the call to make to the store now.
 func (c *Core) NextPoll(now time.Time) Poll {
 	if now.Before(c.nextPoll) || !c.Reader() && !c.Stale(now) {
@@ -205,6 +243,7 @@
 // a large one, which is then looked at again at once.
 func (c *Core) PollSucceeded(poll Poll, complete bool, now time.Time) {
 	c.failures = 0
+	c.alone = !c.Reader()
 	if poll == PollPage && c.large == complete {
 		c.large = !complete
 		c.nextPoll = now
@@ -238,64 +277,3 @@
 	half := pause / 2
 	c.nextPoll = now.Add(half + time.Duration(c.chance.Int64N(int64(half)+1)))
 }
-
-// Peer is a balancer to follow next.
-type Peer struct {
-	Address string
-	// Everything is set until a peer has told all that it holds, tombstones
-	// too, which the store does not have.
-	Everything bool
-}
-
-// NextPeer returns the balancer to follow now. The reader follows one only
-// until it has been told everything once, and while its own knowledge is stale.
-func (c *Core) NextPeer(now time.Time) (Peer, bool) {
-	if c.Reader() && c.caughtUp && !c.Stale(now) {
-		return Peer{}, false
-	}
-	for _, address := range c.candidates() {
-		if address == c.config.Self.GetPeerAddress() || now.Before(c.paused[address]) {
-			continue
-		}
-		return Peer{Address: address, Everything: !c.caughtUp}, true
-	}
-	return Peer{}, false
-}
-
-// candidates are the addresses to follow, the best first: the parent, its
-// parents, the rest of the zone, other zones, and the seeds.
-func (c *Core) candidates() []string {
-	var addresses []string
-	place := c.position()
-	for place > 0 {
-		place = (place - 1) / c.config.TreeWidth
-		addresses = append(addresses, c.order[place].GetPeerAddress())
-	}
-	for _, balancer := range c.order {
-		addresses = append(addresses, balancer.GetPeerAddress())
-	}
-	for _, balancer := range c.others {
-		addresses = append(addresses, balancer.GetPeerAddress())
-	}
-	return append(addresses, c.config.Seeds...)
-}
-
-// PeerAnswered takes a peer's answer: its knowledge was confirmed as of a time.
-// A peer that is itself stale is passed over for a while, and one that knows
-// nothing has yet to be asked for everything.
-func (c *Core) PeerAnswered(peer Peer, asOf, now time.Time) {
-	stale := now.Sub(asOf) > c.config.StaleAfter
-	switch {
-	case stale && c.confirmedAt.IsZero():
-		c.paused[peer.Address] = now.Add(eagerPause)
-	case stale:
-		c.paused[peer.Address] = now.Add(c.config.PeerPause)
-	default:
-		c.caughtUp = true
-	}
-}
-
-// PeerFailed passes a peer over for a while.
-func (c *Core) PeerFailed(peer Peer, now time.Time) {
-	c.paused[peer.Address] = now.Add(c.config.PeerPause)
-}
--- /dev/null
+++ b/internal/replication/outage_test.go
@@ -0,0 +1,326 @@
+package replication
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+)
+
+// outage is balancers beside a store that answers nobody, in virtual time. One
+// step is ten milliseconds, which is also what a message takes.
+type outage struct {
+	now   time.Time
+	nodes []*outageNode
+	// cutUntil is until when messages from one node to another are lost.
+	cutUntil map[[2]int]time.Time
+	calls    []*outageCall
+	chance   *rand.Rand
+	seeds    []string
+}
+
+type outageNode struct {
+	place    int
+	core     *Core
+	revision uint64
+	// startAt is when the node starts or has started; dark tells that nothing
+	// answers for it until then.
+	startAt time.Time
+	alive   bool
+	dark    bool
+	started int
+}
+
+type outageCall struct {
+	from, to *outageNode
+	started  int
+	peer     Peer
+	arrived  bool
+	sentAt   time.Time
+	expires  time.Time
+}
+
+const (
+	outageStep = 10 * time.Millisecond
+	// followTime is how long a call may wait for news.
+	followTime = 1500 * time.Millisecond
+)
+
+func newOutage(count int, seed uint64) *outage {
+	made := &outage{now: start, cutUntil: make(map[[2]int]time.Time), chance: rand.New(rand.NewPCG(seed, 1))}
+	for place := range min(count, 3) {
+		made.seeds = append(made.seeds, address(place))
+	}
+	for place := range count {
+		node := &outageNode{place: place}
+		made.nodes = append(made.nodes, node)
+		made.start(node)
+		made.learn(node, 1, start)
+	}
+	return made
+}
+
+func (o *outage) start(node *outageNode) {
+	node.core = NewCore(Config{
+		Self:  &apiv1.Balancer{Name: name(node.place), Zone: "maadi", PeerAddress: address(node.place)},
+		Seeds: o.seeds, PollInterval: time.Second, StaleAfter: 1400 * time.Millisecond, TreeWidth: 16,
+		PeerPause: 2 * time.Second, BackoffLimit: time.Second,
+		StartPatience: 500 * time.Millisecond, AuditInterval: time.Minute,
+	}, o.chance, o.now)
+	node.core.SetBalancers(nil)
+	node.revision, node.alive, node.startAt = 0, true, o.now
+	node.started++
+}
+
+func (o *outage) learn(node *outageNode, revision uint64, confirmedAt time.Time) {
+	if revision == 0 {
+		return
+	}
+	node.core.Confirm(confirmedAt)
+	node.revision = max(node.revision, revision)
+	node.core.SetBalancers(zoneOf(len(o.nodes)))
+}
+
+func (o *outage) cut(from, to *outageNode) bool {
+	return o.now.Before(o.cutUntil[[2]int{from.place, to.place}])
+}
+
+// step makes the calls that are due and moves those under way.
+func (o *outage) step() {
+	o.now = o.now.Add(outageStep)
+	for _, node := range o.nodes {
+		if !node.alive && !node.startAt.IsZero() && !o.now.Before(node.startAt) {
+			o.start(node)
+		}
+		if !node.alive {
+			continue
+		}
+		for {
+			peer, found := node.core.NextPeer(o.now)
+			if !found {
+				break
+			}
+			o.call(node, peer)
+		}
+	}
+	kept := o.calls[:0]
+	for _, call := range o.calls {
+		if !o.move(call) {
+			kept = append(kept, call)
+		}
+	}
+	o.calls = kept
+}
+
+func (o *outage) call(node *outageNode, peer Peer) {
+	made := &outageCall{from: node, started: node.started, peer: peer, sentAt: o.now, expires: o.now.Add(500 * time.Millisecond)}
+	if peer.Waits() {
+		made.expires = o.now.Add(2 * time.Second)
+	}
+	for _, node := range o.nodes {
+		if address(node.place) == peer.Address {
+			made.to = node
+		}
+	}
+	o.calls = append(o.calls, made)
+}
+
+// move tells whether a call has ended.
+func (o *outage) move(call *outageCall) bool {
+	if !call.from.alive || call.from.started != call.started {
+		// The connection of a balancer without power stays open at the other end.
+		over := !call.from.dark || !call.peer.Waits() || o.now.Sub(call.sentAt) >= followTime
+		if !over && call.arrived {
+			call.to.core.Heard(address(call.from.place), o.now)
+		}
+		return over
+	}
+	reached := call.to.alive && !o.cut(call.from, call.to) && !o.cut(call.to, call.from)
+	refused := !call.to.alive && !call.to.dark
+	dialing := !call.arrived && o.now.Sub(call.sentAt) >= 300*time.Millisecond
+	if refused || !reached && dialing || !o.now.Before(call.expires) {
+		call.from.core.PeerFailed(call.peer, o.now)
+		return true
+	}
+	if !reached {
+		return false
+	}
+	if !call.arrived {
+		call.arrived = true
+		o.arrive(call)
+		return false
+	}
+	waits := call.peer.Waits() && o.now.Sub(call.sentAt) < followTime
+	news := call.to.revision > call.from.revision
+	if waits && !news {
+		call.to.core.Heard(address(call.from.place), o.now)
+		return false
+	}
+	o.answer(call)
+	return true
+}
+
+func (o *outage) arrive(call *outageCall) {
+	age, knows := call.from.core.Age(o.now)
+	shown := call.from.revision
+	if call.peer.Everything {
+		shown = 0
+	}
+	call.to.core.Called(Caller{Address: address(call.from.place), Knows: knows, Revision: shown,
+		ConfirmedAt: o.now.Add(-age)}, call.to.revision, o.now)
+}
+
+func (o *outage) answer(call *outageCall) {
+	age, knows := call.to.core.Age(o.now)
+	if !knows {
+		call.from.core.PeerAnswered(call.peer, o.now.Add(-1000*time.Hour), o.now)
+		call.from.core.Learned(call.to.core.Callers())
+		return
+	}
+	call.from.core.PeerAnswered(call.peer, o.now.Add(-age), o.now)
+	o.learn(call.from, call.to.revision, o.now.Add(-age))
+}
+
+// together tells whether two nodes have lived and reached each other for a time.
+func (o *outage) together(a, b *outageNode, since time.Duration) bool {
+	for _, node := range []*outageNode{a, b} {
+		if !node.alive || o.now.Sub(node.startAt) < since {
+			return false
+		}
+	}
+	return o.now.Sub(o.cutUntil[[2]int{a.place, b.place}]) >= since && o.now.Sub(o.cutUntil[[2]int{b.place, a.place}]) >= since
+}
+
+// The times within which a balancer that knows nothing learns from one in
+// reach, and one that knows less catches up with it: knowledge may be as old as
+// StaleAfter before anybody looks for younger one.
+const (
+	learnTime   = time.Second
+	catchUpTime = learnTime + 1400*time.Millisecond
+)
+
+// behind describes a node that does not know what another one in reach has
+// known for long enough, or is empty.
+func (o *outage) behind(knownSince map[int]time.Time) string {
+	for _, knower := range o.nodes {
+		for _, other := range o.nodes {
+			limit := catchUpTime
+			switch {
+			case other.revision == 0 && !other.dark:
+				limit = learnTime
+			case other.revision == 0:
+				limit = learnTime + followTime
+			}
+			known := knower.alive && o.now.Sub(knownSince[knower.place]) >= limit
+			if known && other.revision < knower.revision && o.together(knower, other, limit) {
+				return fmt.Sprintf("at %v edge-%d knows %d, edge-%d beside it %d", o.now.Sub(start),
+					knower.place, knower.revision, other.place, other.revision)
+			}
+		}
+	}
+	return ""
+}
+
+// Whatever is killed, cut off or started again while the store answers nobody,
+// seeds included: who lives beside one that knows comes to know as much.
+func TestKnowledgeSpreadsInAnOutage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(2, 9).Draw(t, "balancers")
+		world := newOutage(count, rapid.Uint64().Draw(t, "chance"))
+		knownSince := make(map[int]time.Time)
+		revisions := make(map[int]uint64)
+		most := 0
+		for second := range rapid.IntRange(2, 10).Draw(t, "seconds") {
+			world.disturb(t, second)
+			before := len(world.calls)
+			for range 100 {
+				world.step()
+				for _, node := range world.nodes {
+					if revisions[node.place] != node.revision {
+						revisions[node.place], knownSince[node.place] = node.revision, world.now
+					}
+				}
+				require.Empty(t, world.behind(knownSince))
+			}
+			most = max(most, len(world.calls)-before)
+		}
+		require.LessOrEqual(t, most, 10*count, "calls under way stay few")
+	})
+}
+
+// disturb kills, cuts or informs some of the balancers.
+func (o *outage) disturb(t *rapid.T, second int) {
+	for place, node := range o.nodes {
+		label := fmt.Sprintf("%d s edge-%d", second, place)
+		switch rapid.IntRange(0, 9).Draw(t, label) {
+		case 0, 1, 2:
+			node.alive, node.dark = false, rapid.Bool().Draw(t, label+" dark")
+			dead := rapid.IntRange(0, 1500).Draw(t, label+" dead ms")
+			node.startAt = o.now.Add(time.Duration(dead) * time.Millisecond)
+			node.revision = 0
+		case 3:
+			other := rapid.IntRange(0, len(o.nodes)-1).Draw(t, label+" cut from")
+			length := rapid.IntRange(0, 2500).Draw(t, label+" cut ms")
+			o.cutUntil[[2]int{place, other}] = o.now.Add(time.Duration(length) * time.Millisecond)
+		case 4:
+			// The store has answered this one alone.
+			if node.alive {
+				o.learn(node, uint64(second)+2, o.now)
+				node.core.PollSucceeded(PollPage, true, o.now)
+			}
+		}
+	}
+}
+
+// What a balancer spends on telling does not grow with the number of those that
+// it does not hear.
+func TestTellingIsBounded(t *testing.T) {
+	for _, count := range []int{7, 2000} {
+		core := newCore(0)
+		core.SetBalancers(zoneOf(count))
+		core.Confirm(start)
+		calls := 0
+		for elapsed := 2000; elapsed < 12_000; elapsed += 50 {
+			now := after(elapsed)
+			for {
+				peer, found := core.NextPeer(now)
+				if !found {
+					break
+				}
+				if peer.Purpose == PurposeTell {
+					calls++
+				}
+				core.PeerFailed(peer, now)
+			}
+		}
+		require.LessOrEqual(t, calls, 10*20, "%d balancers", count)
+	}
+}
+
+// A calm day costs no call that tells, as long as the calls of followers wait.
+func TestNobodyIsToldOnACalmDay(t *testing.T) {
+	const count = 12
+	for place := range count {
+		core := newCore(place)
+		core.SetBalancers(zoneOf(count))
+		for elapsed := 0; elapsed < 30_000; elapsed += 50 {
+			now := after(elapsed)
+			core.Confirm(now)
+			for other := range count {
+				if other != place {
+					core.Heard(address(other), now)
+				}
+			}
+			peer, found := core.NextPeer(now)
+			if found {
+				require.NotEqual(t, PurposeTell, peer.Purpose)
+				core.PeerAnswered(peer, now, now)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/replication/seek.go
@@ -0,0 +1,229 @@
+package replication
+
+import (
+	"slices"
+	"time"
+)
+
+// A balancer that has just started knows its seeds only, and these may have
+// started just now too. While the store answers none of them, what the others
+// know has to come from the others' side: whoever knows something calls the
+// balancers that it has not heard of late, at the addresses where they were. A
+// call shows the caller's revision, and who knows less asks the caller for the
+// rest. Balancers that were told tell others, so the time grows with the
+// logarithm of their number.
+//
+// Whom to call is left to chance, among those whose last try is longest ago, so
+// that no agreement on who is lost or who else seeks is needed. With each of K
+// balancers trying one every tellLongest, each of N lost ones is found by K/N
+// calls in that time; what one balancer spends is the same for any number.
+
+const (
+	// lostAfter is the silence after which a balancer counts as not heard. One
+	// that waits here for news is heard as long as it does.
+	lostAfter = 500 * time.Millisecond
+	// The pause between two calls that tell. It doubles when the one called knew
+	// as much, and halves when it did not answer.
+	tellShortest = 60 * time.Millisecond
+	tellLongest  = 800 * time.Millisecond
+	// retellAfter is the pause between two calls to the same balancer, and
+	// retellAfterCalm the one while others are in touch with the store.
+	retellAfter     = 200 * time.Millisecond
+	retellAfterCalm = 500 * time.Millisecond
+	// youngerBy is how much younger a confirmation must be to be worth a call.
+	youngerBy = 100 * time.Millisecond
+	// callersLimit bounds the callers that a balancer remembers while it knows
+	// nothing, and hintsLimit those it has yet to ask for what they know.
+	callersLimit = 16
+	hintsLimit   = 4
+)
+
+// contact is when another balancer was last heard and last told.
+type contact struct {
+	heardAt, toldAt time.Time
+}
+
+// Caller is another balancer as its call shows it.
+type Caller struct {
+	// Address is where it takes calls itself; empty when it did not say.
+	Address string
+	// Knows is set unless the caller knows nothing.
+	Knows bool
+	// Revision is up to where it knows everything. One that asks for everything
+	// shows 0.
+	Revision uint64
+	// ConfirmedAt is when the store confirmed what it knows.
+	ConfirmedAt time.Time
+}
+
+// Called takes that another balancer has called. The revision is that of the
+// knowledge here. A caller that knows more will be asked for it.
+func (c *Core) Called(caller Caller, revision uint64, now time.Time) {
+	if caller.Address == "" || caller.Address == c.config.Self.GetPeerAddress() {
+		return
+	}
+	c.Heard(caller.Address, now)
+	if !c.knows() {
+		c.callers = addBounded(c.callers, caller.Address, callersLimit)
+	}
+	if c.knowsMore(caller, revision, now) {
+		c.hints = addBounded(c.hints, caller.Address, hintsLimit)
+	}
+}
+
+// Learned takes addresses of balancers from one that knows nothing itself.
+func (c *Core) Learned(callers []string) {
+	for _, address := range callers {
+		if c.knows() || address == c.config.Self.GetPeerAddress() {
+			return
+		}
+		c.callers = addBounded(c.callers, address, callersLimit)
+	}
+}
+
+// Callers are the balancers that called while nothing was known here.
+func (c *Core) Callers() []string { return slices.Clone(c.callers) }
+
+func (c *Core) knowsMore(caller Caller, revision uint64, now time.Time) bool {
+	switch {
+	case !caller.Knows:
+		return false
+	case !c.knows():
+		return true
+	case caller.Revision > revision:
+		return true
+	}
+	return c.Stale(now) && caller.ConfirmedAt.Sub(c.confirmedAt) >= youngerBy
+}
+
+// addBounded appends an address that is not there yet, if there is room.
+func addBounded(addresses []string, address string, limit int) []string {
+	if len(addresses) >= limit || slices.Contains(addresses, address) {
+		return addresses
+	}
+	return append(addresses, address)
+}
+
+// knows tells whether anything is known here.
+func (c *Core) knows() bool { return !c.confirmedAt.IsZero() }
+
+// Heard takes a sign of life of another balancer: a call, an answer, or that its
+// call still waits here.
+func (c *Core) Heard(address string, now time.Time) { c.contactOf(address).heardAt = now }
+
+func (c *Core) contactOf(address string) *contact {
+	known := c.contacts[address]
+	if known == nil {
+		known = &contact{}
+		c.contacts[address] = known
+	}
+	return known
+}
+
+// nextFetch returns a balancer that has shown to know more.
+func (c *Core) nextFetch(time.Time) (string, bool) {
+	if len(c.hints) == 0 {
+		return "", false
+	}
+	address := c.hints[0]
+	c.hints = c.hints[1:]
+	return address, true
+}
+
+// nextTell returns a balancer to tell, and spaces the next one.
+func (c *Core) nextTell(now time.Time) (string, bool) {
+	if !c.knows() || now.Before(c.nextTellAt) {
+		return "", false
+	}
+	address, found := c.lost(now)
+	pause := c.tellPause/2 + time.Duration(c.chance.Int64N(int64(c.tellPause)+1))
+	c.nextTellAt = now.Add(pause)
+	if found {
+		c.contactOf(address).toldAt = now
+	}
+	return address, found
+}
+
+// lost returns the balancer that was not heard of late and whose last try is
+// longest ago. While others are in touch with the store, a balancer seeks those
+// that should follow it, since each of the rest has one that does.
+func (c *Core) lost(now time.Time) (string, bool) {
+	if c.knownAt.IsZero() {
+		c.knownAt = now
+	}
+	search := search{core: c, now: now, everybody: c.alone || c.Stale(now)}
+	for place, balancer := range c.order {
+		if search.everybody || place > 0 && c.parentOf(place) == c.place {
+			search.consider(balancer.GetPeerAddress())
+		}
+	}
+	if search.everybody {
+		for _, balancer := range c.others {
+			search.consider(balancer.GetPeerAddress())
+		}
+	}
+	return search.address, search.address != ""
+}
+
+// search looks for the lost balancer that was told longest ago.
+type search struct {
+	core *Core
+	now  time.Time
+	// everybody is set where nobody else may be in touch with the store.
+	everybody bool
+	address   string
+	toldAt    time.Time
+	// ties is how many were told as long ago as the one found. Chance decides
+	// between them.
+	ties int
+}
+
+func (s *search) consider(address string) {
+	if address == s.core.config.Self.GetPeerAddress() {
+		return
+	}
+	known := s.contact(address)
+	if s.recent(known) {
+		return
+	}
+	switch {
+	case s.address == "" || known.toldAt.Before(s.toldAt):
+		s.address, s.toldAt, s.ties = address, known.toldAt, 1
+	case known.toldAt.Equal(s.toldAt):
+		s.ties++
+		if s.core.chance.IntN(s.ties) == 0 {
+			s.address = address
+		}
+	}
+}
+
+// contact returns what is noted of a balancer. After a start beside a store
+// that answers, the others have time to call; in an outage nobody has.
+func (s *search) contact(address string) contact {
+	if known := s.core.contacts[address]; known != nil {
+		return *known
+	}
+	if s.everybody {
+		return contact{}
+	}
+	return contact{heardAt: s.core.knownAt}
+}
+
+// recent tells whether a balancer was heard or told too lately to be told.
+func (s *search) recent(known contact) bool {
+	pause := retellAfterCalm
+	if s.everybody {
+		pause = retellAfter
+	}
+	return s.now.Sub(known.heardAt) < lostAfter || s.now.Sub(known.toldAt) < pause
+}
+
+// told takes the answer of a balancer that was told. While those told know as
+// much, there is less hurry.
+func (c *Core) told(asOf time.Time) {
+	if c.confirmedAt.Sub(asOf) > c.config.StaleAfter {
+		c.tellPause = tellShortest
+		return
+	}
+	c.tellPause = min(2*c.tellPause, tellLongest)
+}
--- a/test/e2e/balancer_test.go
+++ b/test/e2e/balancer_test.go
@@ -391,6 +391,44 @@
 	site.open(site.target("198.18.0.1", 443), 10)
 }
 
+// The store is silent. All seeds are killed and start again, so that they know
+// nobody but each other; then those are killed that had lived on. No balancer
+// lives through both, and what is known outlives them all the same.
+func TestKnowledgeOutlivesItsKnowers(t *testing.T) {
+	t.Parallel()
+	site, started := newLendingSite(t, 10)
+	for index := range 2 {
+		started = append(started, site.startBalancer(zones[index]))
+	}
+	site.waitIn(5)
+	flows, servers := site.open(site.target("198.18.0.1", 443), 20)
+	site.removeEntry("i-a0")
+	time.Sleep(3 * time.Second)
+	site.store.SetFaults(metadata.Faults{Silent: true})
+	seeds, others := started[:3], started[3:]
+	for _, part := range [][]*process{seeds, others} {
+		kill(t, part)
+		site.waitIn(5 - len(part))
+		for _, each := range part {
+			site.restart(each)
+		}
+		began := time.Now()
+		site.waitIn(5)
+		require.Less(t, time.Since(began), 2*time.Second, "the routers ask twice a second")
+	}
+	site.requireKept(flows, servers)
+	site.open(site.target("198.18.0.1", 443), 10)
+	site.requireNothingStray()
+}
+
+// kill ends balancers without a notice and waits for their ends.
+func kill(t *testing.T, balancers []*process) {
+	for _, each := range balancers {
+		require.NoError(t, each.command.Process.Kill())
+		_ = each.command.Wait()
+	}
+}
+
 // All balancers start anew with the store up.
 func TestBalancerAllRestart(t *testing.T) {
 	t.Parallel()
