Give new flows to the least used of four back ends

Hypothesis: chance alone leaves the busiest back end of a pool at 1.3 to 1.6 times the mean, and a burst is shed by some back ends while others stand idle. Each balancer sees whole flows, so if each balances its own, all are balanced, without a message.

Now a new flow goes to the one of the first four in its order that is least in use for its weight: flows that passed here lately, and requests that wait for an answer.

--- a/internal/rule/rule.go
+++ b/internal/rule/rule.go
@@ -112,6 +112,37 @@
 	return best
 }
 
+// Leaders puts the first candidates in the order of a flow into found, the first
+// one first, and returns how many there are; candidates for which except is true
+// are left out. It does not allocate.
+func (rule *Rule) Leaders(hash uint64, found []Candidate, except func(backend uint32) bool) int {
+	var scores [16]uint64
+	limit := min(len(found), len(scores))
+	count := 0
+	for index := range rule.candidates {
+		candidate := &rule.candidates[index]
+		if candidate.Weight == 0 {
+			continue
+		}
+		score := negativeLogarithm(mix(hash^candidate.seed)) * MaximumWeight / uint64(candidate.Weight)
+		if count == limit && score >= scores[count-1] {
+			continue
+		}
+		if except != nil && except(candidate.Backend) {
+			continue
+		}
+		if count < limit {
+			count++
+		}
+		place := count - 1
+		for ; place > 0 && scores[place-1] > score; place-- {
+			found[place], scores[place] = found[place-1], scores[place-1]
+		}
+		found[place], scores[place] = *candidate, score
+	}
+	return count
+}
+
 // Score returns the score of each candidate for a flow hash, lowest first, for
 // explanations. The score is scaled by 1000/weight; weight 0 has the highest.
 func (rule *Rule) Score(hash uint64) []Score {
--- a/internal/tokenroute/decide.go
+++ b/internal/tokenroute/decide.go
@@ -87,8 +87,10 @@
 	if named == nil {
 		return Decision{Verdict: Drop, Reason: ReasonUnknownToken}
 	}
-	chosen := f.Next(packet.Key, named, now)
-	if f.liveness.Observe(packet, chosen, now) {
+	f.turn(now)
+	state := f.memory.find(packet.Key)
+	chosen := f.next(state, named)
+	if f.observe(packet, state, chosen, now) {
 		return Decision{Verdict: Refuse, Reason: ReasonDeadBackend, Backend: chosen}
 	}
 	if chosen != named {
@@ -97,6 +99,24 @@
 	return Decision{Verdict: Forward, Reason: ReasonToken, Backend: named}
 }
 
+// observe takes a later packet of a flow that goes to a back end, and tells
+// whether the back end counts as dead for it.
+func (f *Flows) observe(packet Packet, state *flowState, backend *Backend, now time.Time) bool {
+	if packet.Closing {
+		if state != nil {
+			f.memory.forget(packet.Key, state)
+		}
+		return false
+	}
+	if state == nil && packet.Length > 0 {
+		state = f.memory.add(packet.Key)
+	}
+	if state != nil {
+		state.attach(f.loadOf(backend))
+	}
+	return f.liveness.Observe(packet, state, backend, now)
+}
+
 func (f *Flows) decideFirst(route *Route, packet Packet, now time.Time) Decision {
 	if route == nil {
 		return Decision{Verdict: Refuse, Reason: ReasonNoRoute}
--- a/internal/tokenroute/flows.go
+++ b/internal/tokenroute/flows.go
@@ -13,10 +13,6 @@
 	// the first packet of a flow and the client has gone on. It stays below the
 	// first repetition by clients, 200 ms.
 	AnswerTime = 150 * time.Millisecond
-	// generationTime is how long an entry stays at least.
-	generationTime = 3 * time.Second
-	// generationLimit bounds the flows remembered in one generation.
-	generationLimit = 32768
 	// maximumTried is how many back ends one new flow is offered to.
 	maximumTried = 3
 	// The time for which a back end that did not answer is avoided doubles from
@@ -59,13 +55,12 @@
 	avoidUntil time.Time
 }
 
-// Flows is the memory of one traffic goroutine. Entries live for one to two
-// generations, longer while their flow is contested and active.
+// Flows is the memory of one traffic goroutine.
 type Flows struct {
-	current, previous map[flow.Key]*opening
-	turnedAt          time.Time
-	queue             []waiting
-	silent            map[uint64]*silence
+	memory *memory
+	queue  []waiting
+	silent map[uint64]*silence
+	loads  map[uint64]*load
 	// liveness judges back ends by the later packets of their flows.
 	liveness *Liveness
 	// Retried counts first packets that went to another back end.
@@ -79,11 +74,12 @@
 
 // NewFlows makes an empty memory.
 func NewFlows() *Flows {
+	memory := newMemory()
 	return &Flows{
-		current:  make(map[flow.Key]*opening),
-		previous: make(map[flow.Key]*opening),
+		memory:   memory,
 		silent:   make(map[uint64]*silence),
-		liveness: NewLiveness(),
+		loads:    make(map[uint64]*load),
+		liveness: newLiveness(memory),
 	}
 }
 
@@ -104,40 +100,60 @@
 func (f *Flows) First(route *Route, key flow.Key, now time.Time) *Backend {
 	f.turn(now)
 	f.collect(now)
-	known := f.find(key)
-	if known != nil && known.opened != nil {
+	state := f.memory.find(key)
+	if state == nil {
+		state = f.memory.add(key)
+	}
+	known := &state.opening
+	if known.opened != nil {
 		return known.opened
 	}
-	if known != nil && (now.Sub(known.sentAt) < AnswerTime || known.count == maximumTried) {
+	if known.count > 0 && (now.Sub(known.sentAt) < AnswerTime || known.count == maximumTried) {
 		return known.last()
 	}
 	avoid := func(backend *Backend) bool {
-		if known != nil && known.wasTried(backend) || f.liveness.Dead(backend, now) {
+		if known.wasTried(backend) || f.liveness.Dead(backend, now) {
 			return true
 		}
-		state := f.silent[backend.Number]
-		return state != nil && now.Before(state.avoidUntil)
+		silent := f.silent[backend.Number]
+		return silent != nil && now.Before(silent.avoidUntil)
 	}
-	chosen := route.Choose(key.Hash(), avoid)
+	chosen := route.Choose(key.Hash(), avoid, f.inUse)
 	if chosen == nil {
 		return nil
 	}
-	f.remember(known, key, chosen, now)
+	f.remember(state, chosen, now)
 	return chosen
 }
 
-func (f *Flows) remember(known *opening, key flow.Key, chosen *Backend, now time.Time) {
+// inUse is how much of a back end the flows use that pass here.
+func (f *Flows) inUse(backend *Backend) int {
+	known := f.loads[backend.Number]
 	if known == nil {
-		known = &opening{}
-		if len(f.current) < generationLimit {
-			f.current[key] = known
-		}
-	} else {
+		return 0
+	}
+	return known.flows + known.waiting
+}
+
+// loadOf returns the load of a back end.
+func (f *Flows) loadOf(backend *Backend) *load {
+	known := f.loads[backend.Number]
+	if known == nil {
+		known = &load{}
+		f.loads[backend.Number] = known
+	}
+	return known
+}
+
+func (f *Flows) remember(state *flowState, chosen *Backend, now time.Time) {
+	known := &state.opening
+	if known.count > 0 {
 		f.Retried.Add(1)
 	}
 	known.tried[known.count] = chosen
 	known.count++
 	known.sentAt = now
+	state.attach(f.loadOf(chosen))
 	if len(f.queue) < generationLimit {
 		f.queue = append(f.queue, waiting{opening: known, backend: chosen, sentAt: now})
 	}
@@ -147,17 +163,18 @@
 // given back end.
 func (f *Flows) Next(key flow.Key, named *Backend, now time.Time) *Backend {
 	f.turn(now)
-	known := f.find(key)
-	if known == nil {
+	return f.next(f.memory.find(key), named)
+}
+
+func (f *Flows) next(state *flowState, named *Backend) *Backend {
+	if state == nil {
 		return named
 	}
+	known := &state.opening
 	if known.opened == nil && known.wasTried(named) {
 		known.opened = named
 		delete(f.silent, named.Number)
 	}
-	if known.count > 1 {
-		f.current[key] = known
-	}
 	if known.opened == nil || known.opened.Number == named.Number {
 		return named
 	}
@@ -165,13 +182,6 @@
 	return known.opened
 }
 
-func (f *Flows) find(key flow.Key) *opening {
-	if known := f.current[key]; known != nil {
-		return known
-	}
-	return f.previous[key]
-}
-
 // collect counts the back ends whose answers are overdue.
 func (f *Flows) collect(now time.Time) {
 	due := 0
@@ -199,16 +209,20 @@
 	state.avoidUntil = now.Add(avoid)
 }
 
-// turn drops the older generation when the current one is old enough.
+// turn drops what is too old.
 func (f *Flows) turn(now time.Time) {
-	if now.Sub(f.turnedAt) < generationTime {
+	if !f.memory.turn(now) {
 		return
 	}
-	f.turnedAt = now
-	f.previous, f.current = f.current, make(map[flow.Key]*opening)
+	f.liveness.forget(now)
 	for number, state := range f.silent {
 		if now.Sub(state.avoidUntil) > avoidLongest {
 			delete(f.silent, number)
 		}
 	}
+	for number, known := range f.loads {
+		if known.flows == 0 {
+			delete(f.loads, number)
+		}
+	}
 }
--- a/internal/tokenroute/liveness.go
+++ b/internal/tokenroute/liveness.go
@@ -30,11 +30,8 @@
 	// verdictTime is how long a verdict lasts without a new witness. It stays
 	// well below the time for which a disruption excuses a reset.
 	verdictTime = 2 * time.Second
-	// trackTime is how long a flow's last request is remembered at least.
-	trackTime = 3 * time.Second
-	// trackLimit bounds the flows remembered in one generation, and the back
-	// ends judged at a time.
-	trackLimit = 32768
+	// judgedLimit bounds the back ends judged at a time.
+	judgedLimit = 32768
 )
 
 // clientAddress is the address of a client.
@@ -43,6 +40,7 @@
 // track is the oldest unanswered packet with data of one flow, as far as it
 // passed here.
 type track struct {
+	// backend is nil until a packet with data has passed.
 	backend                *Backend
 	sequence, acknowledged uint32
 	// expected is what the client acknowledged last: a reset has to stand near it.
@@ -98,65 +96,60 @@
 //
 // It belongs to one traffic goroutine.
 type Liveness struct {
-	current, previous map[flow.Key]*track
-	turnedAt          time.Time
-	judged            map[uint64]*judgement
-	abandoned         []Abandoned
+	memory    *memory
+	judged    map[uint64]*judgement
+	abandoned []Abandoned
 	// Verdicts counts the verdicts that back ends are dead.
 	Verdicts atomic.Uint64
 }
 
-// NewLiveness makes a memory in which nothing speaks against any back end.
-func NewLiveness() *Liveness {
-	return &Liveness{
-		current:  make(map[flow.Key]*track),
-		previous: make(map[flow.Key]*track),
-		judged:   make(map[uint64]*judgement),
-	}
+// newLiveness makes a judge of the back ends of the flows in a memory, against
+// whom nothing speaks yet.
+func newLiveness(memory *memory) *Liveness {
+	return &Liveness{memory: memory, judged: make(map[uint64]*judgement)}
 }
 
 // Observe takes a later packet of a flow that goes to a back end, and tells
 // whether the back end counts as dead for it. Only packets with data are ever
-// answered with true: the others ask for nothing.
-func (l *Liveness) Observe(packet Packet, backend *Backend, now time.Time) bool {
-	l.turn(now)
+// answered with true: the others ask for nothing. The state of the flow may be
+// nil for packets without data.
+func (l *Liveness) Observe(packet Packet, state *flowState, backend *Backend, now time.Time) bool {
 	if packet.Closing {
 		return false
 	}
 	if packet.Length == 0 {
-		l.observeAcknowledgement(packet, backend, now)
+		l.observeAcknowledgement(packet, state, backend, now)
 		return false
 	}
-	l.observeData(packet, backend, now)
+	l.observeData(packet, state, backend, now)
 	return l.Dead(backend, now)
 }
 
 // observeAcknowledgement follows a packet without data: the client sends it at
 // once when it has received something.
-func (l *Liveness) observeAcknowledgement(packet Packet, backend *Backend, now time.Time) {
+func (l *Liveness) observeAcknowledgement(packet Packet, state *flowState, backend *Backend, now time.Time) {
 	l.prove(backend, now)
-	known := l.find(packet.Key)
-	if known == nil {
+	if state == nil || state.track.backend == nil {
 		return
 	}
-	known.expected = packet.Acknowledged
-	if known.acknowledged != packet.Acknowledged {
-		l.answered(known, backend)
+	state.track.expected = packet.Acknowledged
+	if state.track.acknowledged != packet.Acknowledged {
+		l.answered(state, backend)
 	}
 }
 
 // observeData follows the oldest unanswered packet of a flow. A packet that
 // acknowledges more than the one before proves that the back end lived when
 // that one passed, at least.
-func (l *Liveness) observeData(packet Packet, backend *Backend, now time.Time) {
-	known := l.find(packet.Key)
+func (l *Liveness) observeData(packet Packet, state *flowState, backend *Backend, now time.Time) {
+	known := &state.track
 	switch {
-	case known == nil:
-		l.follow(packet, backend, now)
+	case known.backend == nil:
+		l.follow(packet, state, backend, now)
 	case known.acknowledged != packet.Acknowledged:
 		l.prove(backend, known.passedAt)
-		l.answered(known, backend)
-		l.follow(packet, backend, now)
+		l.answered(state, backend)
+		l.follow(packet, state, backend, now)
 	case known.sequence == packet.Sequence:
 		known.backend, known.passedAt = backend, now
 		l.repeat(known, packet, now)
@@ -165,11 +158,9 @@
 	}
 }
 
-func (l *Liveness) follow(packet Packet, backend *Backend, now time.Time) {
-	if len(l.current) >= trackLimit {
-		return
-	}
-	l.current[packet.Key] = &track{
+func (l *Liveness) follow(packet Packet, state *flowState, backend *Backend, now time.Time) {
+	state.setWaiting(true)
+	state.track = track{
 		backend:  backend,
 		sequence: packet.Sequence, acknowledged: packet.Acknowledged, expected: packet.Acknowledged,
 		passedAt: now, sentAt: now, repeatedAt: now,
@@ -193,7 +184,9 @@
 }
 
 // answered takes that the oldest request of a flow was answered.
-func (l *Liveness) answered(known *track, backend *Backend) {
+func (l *Liveness) answered(state *flowState, backend *Backend) {
+	state.setWaiting(false)
+	known := &state.track
 	judged := l.judgementOf(backend)
 	if judged != nil && known.repeats == 0 && known.sentAt.After(judged.promptAt) {
 		judged.promptAt = known.sentAt
@@ -204,7 +197,7 @@
 // many.
 func (l *Liveness) judgementOf(backend *Backend) *judgement {
 	judged := l.judged[backend.Number]
-	if judged == nil && len(l.judged) < trackLimit {
+	if judged == nil && len(l.judged) < judgedLimit {
 		judged = &judgement{witnesses: make(map[clientAddress]time.Time)}
 		l.judged[backend.Number] = judged
 	}
@@ -249,13 +242,14 @@
 // abandon puts the flows of a dead back end that passed lately on the list of
 // those to reset, and forgets them.
 func (l *Liveness) abandon(backend *Backend) {
-	for _, generation := range []map[flow.Key]*track{l.current, l.previous} {
-		for key, known := range generation {
-			if known.backend.Number != backend.Number {
+	for _, generation := range []map[flow.Key]*flowState{l.memory.current, l.memory.previous} {
+		for key, state := range generation {
+			known := &state.track
+			if known.backend == nil || known.backend.Number != backend.Number {
 				continue
 			}
 			l.abandoned = append(l.abandoned, Abandoned{Key: key, Backend: backend, Acknowledged: known.expected})
-			delete(generation, key)
+			l.memory.forget(key, state)
 		}
 	}
 }
@@ -291,29 +285,11 @@
 	return backend.Gone || now.Before(judged.deadUntil)
 }
 
-func (l *Liveness) find(key flow.Key) *track {
-	if known := l.current[key]; known != nil {
-		return known
-	}
-	known := l.previous[key]
-	if known != nil && len(l.current) < trackLimit {
-		delete(l.previous, key)
-		l.current[key] = known
-	}
-	return known
-}
-
-// turn drops the flows that did not pass for a generation, and the judgements
-// that have nothing left to say.
-func (l *Liveness) turn(now time.Time) {
-	if now.Sub(l.turnedAt) < trackTime {
-		return
-	}
-	l.turnedAt = now
-	l.previous, l.current = l.current, make(map[flow.Key]*track)
+// forget drops the judgements that have nothing left to say.
+func (l *Liveness) forget(now time.Time) {
 	for number, judged := range l.judged {
 		l.forgetWitnesses(judged, now)
-		if len(judged.witnesses) == 0 && now.Sub(judged.latest()) > trackTime {
+		if len(judged.witnesses) == 0 && now.Sub(judged.latest()) > generationTime {
 			delete(l.judged, number)
 		}
 	}
--- a/internal/tokenroute/liveness_test.go
+++ b/internal/tokenroute/liveness_test.go
@@ -259,51 +259,54 @@
 		packet.Key = key(port)
 		flows.Decide(table, packet, at(port/100))
 	}
-	liveness := flows.liveness
-	require.LessOrEqual(t, len(liveness.current)+len(liveness.previous), 2*trackLimit)
-	liveness.turn(at(600_000))
-	liveness.turn(at(600_000 + int(trackTime/time.Millisecond)))
-	require.Empty(t, liveness.current)
-	require.Empty(t, liveness.previous)
-	require.Empty(t, liveness.judged)
+	memory := flows.memory
+	require.LessOrEqual(t, len(memory.current)+len(memory.previous), 2*generationLimit)
+	flows.turn(at(600_000))
+	flows.turn(at(600_000 + int(generationTime/time.Millisecond)))
+	require.Empty(t, memory.current)
+	require.Empty(t, memory.previous)
+	require.Empty(t, flows.liveness.judged)
+	require.Empty(t, flows.silent)
+	flows.turn(at(600_000 + 2*int(generationTime/time.Millisecond)))
+	require.Empty(t, flows.loads)
 }
 
 // BenchmarkObserve is the cost of following a request and its acknowledgement.
 func BenchmarkObserve(b *testing.B) {
 	table := manyBackends(200)
-	liveness := NewLiveness()
-	backend := NewFlows().Decide(table, first(1), start).Backend
+	flows := NewFlows()
+	backend := flows.Decide(table, first(1), start).Backend
 	number := uint32(0)
 	b.ReportAllocs()
 	for b.Loop() {
 		number++
 		packet := request(byte(number), 2, number)
 		packet.Key.SourcePort = uint16(number % 14000)
-		liveness.Observe(packet, backend, start)
+		flows.observe(packet, flows.memory.find(packet.Key), backend, start)
 		packet.Length = 0
 		packet.Acknowledged++
-		liveness.Observe(packet, backend, start)
+		flows.observe(packet, flows.memory.find(packet.Key), backend, start)
 	}
 }
 
 // BenchmarkLivenessMemory is the memory of the flows that one balancer follows
 // at the size of two years: 170 million flows over 12,000 balancers.
 func BenchmarkLivenessMemory(b *testing.B) {
-	const flows = 170_000_000 / 12_000
+	const count = 170_000_000 / 12_000
 	backend := NewFlows().Decide(manyBackends(3), first(1), start).Backend
 	for b.Loop() {
 		var before, after runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&before)
-		liveness := NewLiveness()
-		for port := range flows {
+		flows := NewFlows()
+		for port := range count {
 			packet := request(1, 2, 1)
 			packet.Key.SourcePort = uint16(port)
-			liveness.Observe(packet, backend, start)
+			flows.observe(packet, flows.memory.find(packet.Key), backend, start)
 		}
 		runtime.GC()
 		runtime.ReadMemStats(&after)
-		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/flows, "B/flow")
-		runtime.KeepAlive(liveness)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/count, "B/flow")
+		runtime.KeepAlive(flows)
 	}
 }
--- /dev/null
+++ b/internal/tokenroute/memory.go
@@ -0,0 +1,123 @@
+package tokenroute
+
+import (
+	"time"
+
+	"github.com/indigobarrow/indigobarrow/internal/flow"
+)
+
+const (
+	// generationTime is how long a flow that no packet passed for is remembered
+	// at least; it may be twice as long.
+	generationTime = 3 * time.Second
+	// generationLimit bounds the flows remembered in one generation.
+	generationLimit = 32768
+)
+
+// flowState is what is remembered of a flow that passed here lately.
+type flowState struct {
+	opening opening
+	track   track
+	// kept is set while the memory holds this state, and only then does the flow
+	// count anywhere.
+	kept bool
+	// load is where the flow counts as in use, nil for nowhere.
+	load *load
+	// waits is set while the flow counts as waiting for an answer there.
+	waits bool
+}
+
+// load is how much of a back end the flows use that pass here.
+type load struct {
+	flows   int
+	waiting int
+}
+
+// attach counts a flow at the load of its back end.
+func (s *flowState) attach(l *load) {
+	if s.load == l || !s.kept {
+		return
+	}
+	s.release()
+	s.load = l
+	l.flows++
+}
+
+// setWaiting counts whether the flow waits for an answer.
+func (s *flowState) setWaiting(waits bool) {
+	if s.load == nil || s.waits == waits {
+		return
+	}
+	s.waits = waits
+	if waits {
+		s.load.waiting++
+	} else {
+		s.load.waiting--
+	}
+}
+
+// release takes a flow off the load where it counts.
+func (s *flowState) release() {
+	if s.load == nil {
+		return
+	}
+	s.setWaiting(false)
+	s.load.flows--
+	s.load = nil
+}
+
+// memory remembers the flows that passed lately, in two generations: one that
+// passes moves to the current one, and the older one is dropped as a whole.
+type memory struct {
+	current, previous map[flow.Key]*flowState
+	turnedAt          time.Time
+}
+
+func newMemory() *memory {
+	return &memory{current: make(map[flow.Key]*flowState), previous: make(map[flow.Key]*flowState)}
+}
+
+// find returns the state of a flow, or nil when it is not known.
+func (m *memory) find(key flow.Key) *flowState {
+	if known := m.current[key]; known != nil {
+		return known
+	}
+	known := m.previous[key]
+	if known != nil && len(m.current) < generationLimit {
+		delete(m.previous, key)
+		m.current[key] = known
+	}
+	return known
+}
+
+// add returns the state of a flow that is not known yet. It is not remembered
+// when there are too many.
+func (m *memory) add(key flow.Key) *flowState {
+	made := &flowState{kept: len(m.current) < generationLimit}
+	if made.kept {
+		m.current[key] = made
+	}
+	return made
+}
+
+// forget drops a flow.
+func (m *memory) forget(key flow.Key, known *flowState) {
+	known.release()
+	known.kept = false
+	delete(m.current, key)
+	delete(m.previous, key)
+}
+
+// turn drops the older generation when the current one is old enough, and tells
+// whether it did.
+func (m *memory) turn(now time.Time) bool {
+	if now.Sub(m.turnedAt) < generationTime {
+		return false
+	}
+	m.turnedAt = now
+	for _, known := range m.previous {
+		known.release()
+	}
+	m.previous, m.current = m.current, make(map[flow.Key]*flowState)
+	return true
+}
--- a/internal/tokenroute/table.go
+++ b/internal/tokenroute/table.go
@@ -156,24 +156,36 @@
 // Known tells whether a token names a back end of any pool.
 func (t *Table) Known(token Token) bool { return len(t.tokens[token]) > 0 }
 
+// choices is how many back ends are compared by their load for a new flow.
+const choices = 4
+
 // Choose returns the back end for a new flow, or nil when the route has none.
-// Back ends for which avoid answers true are taken only when there is no other.
-func (r *Route) Choose(hash uint64, avoid func(*Backend) bool) *Backend {
+// Of the first back ends in the flow's order it takes the one that is least in
+// use for its weight. Back ends for which avoid answers true are taken only when
+// there is no other.
+func (r *Route) Choose(hash uint64, avoid func(*Backend) bool, inUse func(*Backend) int) *Backend {
 	index := r.shares.Pick(hash)
 	if index == rule.NoBackend {
 		return nil
 	}
 	chosen := r.pools[index-1]
-	picked := chosen.rule.PickExcept(hash, func(candidate uint32) bool {
+	var leaders [choices]rule.Candidate
+	count := chosen.rule.Leaders(hash, leaders[:], func(candidate uint32) bool {
 		return avoid(chosen.backends[candidate-1])
 	})
-	if picked == rule.NoBackend {
-		picked = chosen.rule.Pick(hash)
+	if count == 0 {
+		count = chosen.rule.Leaders(hash, leaders[:], nil)
 	}
-	if picked == rule.NoBackend {
-		return nil
+	var best *Backend
+	bestUse, bestWeight := 0, 1
+	for _, candidate := range leaders[:count] {
+		backend := chosen.backends[candidate.Backend-1]
+		use, weight := inUse(backend)+1, int(candidate.Weight)
+		if best == nil || use*bestWeight < bestUse*weight {
+			best, bestUse, bestWeight = backend, use, weight
+		}
 	}
-	return chosen.backends[picked-1]
+	return best
 }
 
 // builder collects what the routes of a table share.
--- a/internal/tokenroute/tokenroute_test.go
+++ b/internal/tokenroute/tokenroute_test.go
@@ -283,11 +283,11 @@
 	for port := range 60000 {
 		flows.Decide(table, first(port), at(port/100))
 	}
-	require.LessOrEqual(t, len(flows.current)+len(flows.previous), 2*generationLimit)
+	require.LessOrEqual(t, len(flows.memory.current)+len(flows.memory.previous), 2*generationLimit)
 	require.LessOrEqual(t, len(flows.queue), generationLimit)
 	flows.Decide(table, first(1), at(600_000))
 	flows.Decide(table, first(2), at(610_000))
-	require.LessOrEqual(t, len(flows.current)+len(flows.previous), 2)
+	require.LessOrEqual(t, len(flows.memory.current)+len(flows.memory.previous), 2)
 }
 
 func BenchmarkDecideToken(b *testing.B) {
@@ -331,3 +331,43 @@
 		})
 	}
 }
+
+// Chance alone left the busiest back end of a pool with 1.4 times the mean on
+// every day, and bursts of users were shed by some while others stood idle.
+func TestNewFlowsGoToTheLeastUsed(t *testing.T) {
+	const backends = 12
+	table, flows := manyBackends(backends), NewFlows()
+	counts := make(map[uint64]int)
+	for port := range 20 * backends {
+		chosen := flows.Decide(table, first(port), at(port)).Backend
+		flows.Decide(table, later(port, chosen.Token), at(port+1))
+		counts[chosen.Number]++
+	}
+	for number, count := range counts {
+		require.InDelta(t, 20, count, 2, "back end %d", number)
+	}
+}
+
+// A flow that has ended, or that no packet passed for of late, uses nothing.
+func TestEndedFlowsUseNothing(t *testing.T) {
+	table, flows := manyBackends(1), NewFlows()
+	only := flows.Decide(table, first(1), at(0)).Backend
+	flows.Decide(table, later(1, only.Token), at(5))
+	request := later(1, only.Token)
+	request.Length = 100
+	flows.Decide(table, request, at(10))
+	require.Equal(t, 2, flows.inUse(only), "a flow, and an answer that it waits for")
+	answer := later(1, only.Token)
+	answer.Acknowledged = 900
+	flows.Decide(table, answer, at(60))
+	require.Equal(t, 1, flows.inUse(only))
+	end := later(1, only.Token)
+	end.Closing = true
+	flows.Decide(table, end, at(70))
+	require.Zero(t, flows.inUse(only))
+	flows.Decide(table, first(2), at(80))
+	require.Equal(t, 1, flows.inUse(only))
+	flows.turn(at(10_000))
+	flows.turn(at(20_000))
+	require.Zero(t, flows.inUse(only))
+}
