Share a zone's new flows with others beyond what it has room for

Hypothesis: new flows stay in their zone whatever its room; where demand is lopsided, the smallest zone sheds what the others could serve.

Each balancer observes how many requests of its clients wait at a time, per pool, and takes its zone's demand for that times the balancers in the zone. Up to 0.6 of the zone's slots in use, flows stay; beyond, the rest goes elsewhere, at most as with all zones alike. Packages observe (facts) and shares (weights) hold this without I/O; a table is made anew when a share moves by 0.02.

--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -47,6 +47,7 @@
 	client    *replication.Client
 	packer    replication.Packer
 	programs  programs
+	demand    demand
 	followers chan *follower
 	waiting   []*follower
 	polling   bool
@@ -83,6 +84,7 @@
 		}, chance, balancer.started),
 		client:    replication.NewClient(balancer.logger),
 		programs:  programs{compiled: make(map[string]*compiledPolicy)},
+		demand:    newDemand(),
 		followers: make(chan *follower, followersLimit),
 		former:    make(map[flow.Address]map[string]time.Time),
 	}
@@ -121,7 +123,7 @@
 	c.startPoll(ctx, now)
 	c.startCalls(ctx, now)
 	c.answerWaiting(now)
-	if c.known.Expire(now) {
+	if c.known.Expire(now) || c.takeObserved(now) {
 		c.rebuild = true
 	}
 	due := c.rebuild || !c.nextTurn.IsZero() && now.After(c.nextTurn)
@@ -132,6 +134,14 @@
 	}
 }
 
+// takeObserved takes what the traffic goroutine has observed.
+func (c *control) takeObserved(now time.Time) bool {
+	if c.balancer.traffic == nil {
+		return false
+	}
+	return c.demand.take(c.balancer.traffic.observed.Load(), now)
+}
+
 func (c *control) startPoll(ctx context.Context, now time.Time) {
 	if c.polling {
 		return
@@ -181,6 +191,7 @@
 		balancers := c.known.Balancers()
 		c.core.SetBalancers(balancers)
 		c.balancer.noteAnnounced(balancers)
+		c.demand.balancers = c.balancersInZone(balancers)
 	}
 	// A batch without a revision is a part of what the store holds, or comes
 	// from a peer that knows nothing itself.
@@ -190,6 +201,18 @@
 	}
 }
 
+// balancersInZone counts the balancers of this zone, this one included.
+func (c *control) balancersInZone(known []*apiv1.Balancer) int {
+	settings := c.balancer.settings.Load()
+	count := 1
+	for _, balancer := range known {
+		if balancer.GetZone() == settings.GetZone() && balancer.GetName() != settings.GetName() {
+			count++
+		}
+	}
+	return count
+}
+
 func (c *control) pollEnded(news *apiv1.DirectoryNews, now time.Time) {
 	switch {
 	case news.GetHistoryLost():
--- /dev/null
+++ b/internal/balancer/demand_test.go
@@ -0,0 +1,70 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/directory"
+	"github.com/indigobarrow/indigobarrow/internal/observe"
+	"github.com/indigobarrow/indigobarrow/internal/rule"
+)
+
+// observeWaiting feeds summaries with the same number of waiting requests for
+// two seconds and tells whether any of them asked for a new table.
+func (control *control) observeWaiting(pool string, waiting float64, from time.Time) bool {
+	asked := false
+	for elapsed := time.Duration(0); elapsed < 2*time.Second; elapsed += 250 * time.Millisecond {
+		summary := &observe.Summary{At: from.Add(elapsed), Waiting: map[string]float64{pool: waiting}}
+		asked = control.demand.take(summary, from.Add(elapsed)) || asked
+	}
+	return asked
+}
+
+// With demand lopsided between zones, the back ends of the smallest zone shed
+// what those of the others had room for: a calm day of ours served 0.81.
+func TestZoneInMoreDemandThanItHasRoomForSharesWithOthers(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	control.addBackends("lending", "maadi", 4, now)
+	control.addBackends("lending", "giza", 8, now)
+	remote := directory.BackendEntry{PoolBackend: &apiv1.PoolBackend{Pool: "lending", Zone: "giza"}}
+	few := control.weigher(now)(remote)
+	require.LessOrEqual(t, few, uint32(10))
+	require.False(t, control.observeWaiting("lending", 1, now), "a zone with room needs no new table")
+	require.True(t, control.observeWaiting("lending", 3.5, now.Add(10*time.Second)))
+	more := control.weigher(now.Add(10 * time.Second))(remote)
+	require.Greater(t, more, 20*few)
+	control.observeWaiting("lending", 400, now.Add(20*time.Second))
+	require.InDelta(t, rule.MaximumWeight, control.weigher(now.Add(20*time.Second))(remote), 10, "all zones alike at most")
+}
+
+// Routers spread a zone's packets over its balancers, so each sees a part.
+func TestDemandCountsWhatTheOtherBalancersSee(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	control.addBackends("lending", "maadi", 4, now)
+	control.addBackends("lending", "giza", 8, now)
+	remote := directory.BackendEntry{PoolBackend: &apiv1.PoolBackend{Pool: "lending", Zone: "giza"}}
+	control.observeWaiting("lending", 1, now)
+	alone := control.weigher(now)(remote)
+	control.demand.balancers = control.balancersInZone([]*apiv1.Balancer{
+		{Name: "edge-1", Zone: "maadi"}, {Name: "edge-2", Zone: "maadi"}, {Name: "edge-3", Zone: "maadi"}, {Name: "edge-4", Zone: "giza"}})
+	require.Equal(t, 3, control.demand.balancers)
+	require.Greater(t, control.weigher(now)(remote), alone)
+}
+
+// What was observed long ago is no ground to send flows to other zones.
+func TestOldObservationsAreNoDemand(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	control.addBackends("lending", "maadi", 4, now)
+	control.addBackends("lending", "giza", 8, now)
+	control.observeWaiting("lending", 400, now)
+	require.NotEmpty(t, control.demand.waiting)
+	old := &observe.Summary{At: now.Add(2 * time.Second), Waiting: map[string]float64{"lending": 400}}
+	control.demand.take(old, now.Add(10*time.Second))
+	require.Empty(t, control.demand.waiting)
+}
--- a/internal/balancer/traffic.go
+++ b/internal/balancer/traffic.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/indigobarrow/indigobarrow/internal/observe"
 	"github.com/indigobarrow/indigobarrow/internal/tokenroute"
 )
 
@@ -20,8 +21,10 @@
 	// lastPacket is when a packet last came, in nanoseconds since the start.
 	lastPacket atomic.Int64
 	counts     [tokenroute.ReasonCount]atomic.Uint64
-	malformed  atomic.Uint64
-	failed     atomic.Uint64
+	// observed is the latest summary of what was observed.
+	observed  atomic.Pointer[observe.Summary]
+	malformed atomic.Uint64
+	failed    atomic.Uint64
 }
 
 func newTraffic(balancer *Balancer, socket *net.UDPConn) *traffic {
@@ -74,6 +77,9 @@
 	for _, abandoned := range t.flows.TakeAbandoned() {
 		t.reset(abandoned, table, now)
 	}
+	if summary := t.flows.Summarize(now); summary != nil {
+		t.observed.Store(summary)
+	}
 }
 
 // carryOut does what was decided on a packet.
--- a/internal/balancer/weigh.go
+++ b/internal/balancer/weigh.go
@@ -8,12 +8,10 @@
 	"github.com/indigobarrow/indigobarrow/internal/directory"
 	"github.com/indigobarrow/indigobarrow/internal/policy"
 	"github.com/indigobarrow/indigobarrow/internal/rule"
+	"github.com/indigobarrow/indigobarrow/internal/shares"
 )
 
 const (
-	// remoteWeight leaves the back ends of other zones a share that only
-	// counts when those of this zone are avoided or gone.
-	remoteWeight = 5
 	// localEnough is how many back ends of a pool a zone must have to keep its
 	// new flows. With fewer, one that dies is met again by each retry.
 	localEnough = 3
@@ -34,12 +32,14 @@
 )
 
 // weigher gives the relative share of new flows that a back end takes: by the
-// policy of its pool, else by the default policy, else by its zone. A policy
-// that fails is passed over, so that a bad program never stops traffic.
+// policy of its pool, else by the default policy, else by its zone and what is
+// observed. A policy that fails is passed over, so that a bad program never stops
+// traffic.
 func (c *control) weigher(now time.Time) func(directory.BackendEntry) uint32 {
 	zone := c.balancer.settings.Load().GetZone()
 	spread := now.Sub(c.firstAt) < spreadTime
-	ready := c.readyInZone(zone)
+	zones := c.zonesOfPools(zone)
+	c.demand.startTable(zones)
 	return func(backend directory.BackendEntry) uint32 {
 		local := backend.GetZone() == zone
 		if program := c.programs.find(c.known, backend.GetPool()); program != nil {
@@ -47,22 +47,50 @@
 				return weight
 			}
 		}
-		if spread || local || ready[backend.GetPool()] < localEnough {
+		if spread || local {
 			return rule.MaximumWeight
 		}
-		return remoteWeight
+		return c.remoteWeight(backend.GetPool(), zones[backend.GetPool()])
 	}
 }
 
-// readyInZone counts the back ends of a zone that may take new flows, by pool.
-func (c *control) readyInZone(zone string) map[string]int {
-	ready := make(map[string]int)
+// poolZones is what a pool has in the balancer's zone and in the others.
+type poolZones struct {
+	localBackends, remoteBackends int
+	localSlots, remoteSlots       float64
+}
+
+// zonesOfPools counts the back ends that may take new flows.
+func (c *control) zonesOfPools(zone string) map[string]*poolZones {
+	counted := make(map[string]*poolZones)
 	for _, backend := range c.known.Backends() {
-		if backend.GetZone() == zone && !backend.Gone && !backend.GetDraining() {
-			ready[backend.GetPool()]++
+		if backend.Gone || backend.GetDraining() {
+			continue
+		}
+		pool := counted[backend.GetPool()]
+		if pool == nil {
+			pool = &poolZones{}
+			counted[backend.GetPool()] = pool
+		}
+		slots := math.Max(1, float64(backend.GetCapacity()))
+		if backend.GetZone() == zone {
+			pool.localBackends++
+			pool.localSlots += slots
+		} else {
+			pool.remoteBackends++
+			pool.remoteSlots += slots
 		}
 	}
-	return ready
+	return counted
+}
+
+// remoteWeight is the weight of a pool's back ends in other zones.
+func (c *control) remoteWeight(name string, pool *poolZones) uint32 {
+	if pool == nil || pool.localBackends < localEnough {
+		return rule.MaximumWeight
+	}
+	weight := shares.RemoteWeight(c.demand.remote[name], pool.localBackends, pool.remoteBackends)
+	return uint32(min(math.Ceil(weight*rule.MaximumWeight), rule.MaximumWeight))
 }
 
 func (c *control) evaluate(program *policy.Program, backend directory.BackendEntry, local bool) (uint32, bool) {
--- /dev/null
+++ b/internal/observe/summary.go
@@ -0,0 +1,11 @@
+package observe
+
+import "time"
+
+// Summary is what one balancer has observed up to a time. It is immutable.
+type Summary struct {
+	At time.Time
+	// Waiting is how many requests of this balancer's clients waited for an
+	// answer of each pool, on average over the last time.
+	Waiting map[string]float64
+}
--- a/internal/tokenroute/decide.go
+++ b/internal/tokenroute/decide.go
@@ -104,7 +104,7 @@
 func (f *Flows) observe(packet Packet, state *flowState, backend *Backend, now time.Time) bool {
 	if packet.Closing {
 		if state != nil {
-			f.memory.forget(packet.Key, state)
+			f.memory.forget(packet.Key, state, now)
 		}
 		return false
 	}
@@ -112,7 +112,7 @@
 		state = f.memory.add(packet.Key)
 	}
 	if state != nil {
-		state.attach(f.loadOf(backend))
+		state.attach(f.loadOf(backend), now)
 	}
 	return f.liveness.Observe(packet, state, backend, now)
 }
--- a/internal/tokenroute/flows.go
+++ b/internal/tokenroute/flows.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/observe"
 )
 
 // The pace of a new flow.
@@ -61,6 +62,9 @@
 	queue  []waiting
 	silent map[uint64]*silence
 	loads  map[uint64]*load
+	pools  map[string]*observe.Use
+	// summarizedAt is when the last summary was made.
+	summarizedAt time.Time
 	// liveness judges back ends by the later packets of their flows.
 	liveness *Liveness
 	// Retried counts first packets that went to another back end.
@@ -79,6 +83,7 @@
 		memory:   memory,
 		silent:   make(map[uint64]*silence),
 		loads:    make(map[uint64]*load),
+		pools:    make(map[string]*observe.Use),
 		liveness: newLiveness(memory),
 	}
 }
@@ -139,12 +144,38 @@
 func (f *Flows) loadOf(backend *Backend) *load {
 	known := f.loads[backend.Number]
 	if known == nil {
-		known = &load{}
+		known = &load{pool: f.poolUse(backend.Pool)}
 		f.loads[backend.Number] = known
 	}
 	return known
 }
 
+func (f *Flows) poolUse(name string) *observe.Use {
+	known := f.pools[name]
+	if known == nil {
+		known = &observe.Use{}
+		f.pools[name] = known
+	}
+	return known
+}
+
+// summaryPause is the time between two summaries.
+const summaryPause = 250 * time.Millisecond
+
+// Summarize returns what was observed since the last summary, or nil while
+// another one is not due.
+func (f *Flows) Summarize(now time.Time) *observe.Summary {
+	if now.Sub(f.summarizedAt) < summaryPause {
+		return nil
+	}
+	f.summarizedAt = now
+	made := &observe.Summary{At: now, Waiting: make(map[string]float64, len(f.pools))}
+	for name, use := range f.pools {
+		made.Waiting[name] = use.Mean(now)
+	}
+	return made
+}
+
 func (f *Flows) remember(state *flowState, chosen *Backend, now time.Time) {
 	known := &state.opening
 	if known.count > 0 {
@@ -153,7 +184,7 @@
 	known.tried[known.count] = chosen
 	known.count++
 	known.sentAt = now
-	state.attach(f.loadOf(chosen))
+	state.attach(f.loadOf(chosen), now)
 	if len(f.queue) < generationLimit {
 		f.queue = append(f.queue, waiting{opening: known, backend: chosen, sentAt: now})
 	}
--- a/internal/tokenroute/liveness.go
+++ b/internal/tokenroute/liveness.go
@@ -134,7 +134,7 @@
 	}
 	state.track.expected = packet.Acknowledged
 	if state.track.acknowledged != packet.Acknowledged {
-		l.answered(state, backend)
+		l.answered(state, backend, now)
 	}
 }
 
@@ -148,7 +148,7 @@
 		l.follow(packet, state, backend, now)
 	case known.acknowledged != packet.Acknowledged:
 		l.prove(backend, known.passedAt)
-		l.answered(state, backend)
+		l.answered(state, backend, now)
 		l.follow(packet, state, backend, now)
 	case known.sequence == packet.Sequence:
 		known.backend, known.passedAt = backend, now
@@ -159,7 +159,7 @@
 }
 
 func (l *Liveness) follow(packet Packet, state *flowState, backend *Backend, now time.Time) {
-	state.setWaiting(true)
+	state.setWaiting(true, now)
 	state.track = track{
 		backend:  backend,
 		sequence: packet.Sequence, acknowledged: packet.Acknowledged, expected: packet.Acknowledged,
@@ -184,8 +184,8 @@
 }
 
 // answered takes that the oldest request of a flow was answered.
-func (l *Liveness) answered(state *flowState, backend *Backend) {
-	state.setWaiting(false)
+func (l *Liveness) answered(state *flowState, backend *Backend, now time.Time) {
+	state.setWaiting(false, now)
 	known := &state.track
 	judged := l.judgementOf(backend)
 	if judged != nil && known.repeats == 0 && known.sentAt.After(judged.promptAt) {
@@ -218,7 +218,7 @@
 	}
 	if !now.Before(judged.deadUntil) {
 		l.Verdicts.Add(1)
-		l.abandon(backend)
+		l.abandon(backend, now)
 	}
 	judged.deadUntil = now.Add(verdictTime)
 }
@@ -241,7 +241,7 @@
 
 // abandon puts the flows of a dead back end that passed lately on the list of
 // those to reset, and forgets them.
-func (l *Liveness) abandon(backend *Backend) {
+func (l *Liveness) abandon(backend *Backend, now time.Time) {
 	for _, generation := range []map[flow.Key]*flowState{l.memory.current, l.memory.previous} {
 		for key, state := range generation {
 			known := &state.track
@@ -249,7 +249,7 @@
 				continue
 			}
 			l.abandoned = append(l.abandoned, Abandoned{Key: key, Backend: backend, Acknowledged: known.expected})
-			l.memory.forget(key, state)
+			l.memory.forget(key, state, now)
 		}
 	}
 }
--- a/internal/tokenroute/memory.go
+++ b/internal/tokenroute/memory.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/observe"
 )
 
 const (
@@ -31,37 +32,40 @@
 type load struct {
 	flows   int
 	waiting int
+	// pool is what the flows use of the back end's pool.
+	pool *observe.Use
 }
 
 // attach counts a flow at the load of its back end.
-func (s *flowState) attach(l *load) {
+func (s *flowState) attach(l *load, now time.Time) {
 	if s.load == l || !s.kept {
 		return
 	}
-	s.release()
+	s.release(now)
 	s.load = l
 	l.flows++
 }
 
 // setWaiting counts whether the flow waits for an answer.
-func (s *flowState) setWaiting(waits bool) {
+func (s *flowState) setWaiting(waits bool, now time.Time) {
 	if s.load == nil || s.waits == waits {
 		return
 	}
 	s.waits = waits
-	if waits {
-		s.load.waiting++
-	} else {
-		s.load.waiting--
+	change := 1
+	if !waits {
+		change = -1
 	}
+	s.load.waiting += change
+	s.load.pool.Add(change, now)
 }
 
 // release takes a flow off the load where it counts.
-func (s *flowState) release() {
+func (s *flowState) release(now time.Time) {
 	if s.load == nil {
 		return
 	}
-	s.setWaiting(false)
+	s.setWaiting(false, now)
 	s.load.flows--
 	s.load = nil
 }
@@ -101,8 +105,8 @@
 }
 
 // forget drops a flow.
-func (m *memory) forget(key flow.Key, known *flowState) {
-	known.release()
+func (m *memory) forget(key flow.Key, known *flowState, now time.Time) {
+	known.release(now)
 	known.kept = false
 	delete(m.current, key)
 	delete(m.previous, key)
@@ -116,7 +120,7 @@
 	}
 	m.turnedAt = now
 	for _, known := range m.previous {
-		known.release()
+		known.release(now)
 	}
 	m.previous, m.current = m.current, make(map[flow.Key]*flowState)
 	return true
