Keep the log's lines on failures and first packets apart from passing requests

Each kind of line has its share now, requests of a sample by id are kept on every balancer alike, and what is left out is counted by kind.

A contested flow's opener is remembered until after the packet that ends it, and what was observed is looked at four times a second at most.

--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -36,6 +36,8 @@
 	// buildShare bounds the building of tables to one part in so many of the
 	// time.
 	buildShare = 10
+	// lookPause is the time between two looks at what was observed.
+	lookPause = 250 * time.Millisecond
 	// followersLimit bounds the followers' calls that wait at once.
 	followersLimit = 256
 )
@@ -61,6 +63,8 @@
 	// nextBuild spaces the building of tables by what the last one took.
 	nextBuild time.Time
 	nextCheck time.Time
+	// nextLook is when what was observed is looked at again.
+	nextLook time.Time
 }
 
 func newControl(balancer *Balancer, chance *rand.Rand) *control {
@@ -139,9 +143,10 @@
 // takeObserved takes what the traffic goroutine and other balancers have
 // observed. It tells whether shares of new flows change by it.
 func (c *control) takeObserved(now time.Time) bool {
-	if c.balancer.traffic == nil {
+	if c.balancer.traffic == nil || now.Before(c.nextLook) {
 		return false
 	}
+	c.nextLook = now.Add(lookPause)
 	summary := c.balancer.traffic.observed.Load()
 	changed := c.demand.take(summary, now)
 	if summary != nil {
@@ -149,7 +154,7 @@
 	}
 	changed = c.demand.judge(c.findings.all(now), c.core.OrderSize()) || changed
 	if changed {
-		c.balancer.logger.Info("Control: shares change.", "unwell", len(c.demand.unwell), "demand", c.demand.describe())
+		c.balancer.logger.Debug("Control: shares change.", "unwell", len(c.demand.unwell), "demand", c.demand.describe())
 	}
 	return changed
 }
--- a/internal/balancer/decisionlog.go
+++ b/internal/balancer/decisionlog.go
@@ -2,34 +2,53 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"log/slog"
 	"time"
 
 	"github.com/indigobarrow/indigobarrow/internal/tokenroute"
 )
 
-// The lines a second that decisions may take: those on packets that were not
-// forwarded have a share of their own.
+// lineKind is what a line tells of. Each kind has lines a second of its own, so
+// that passing requests, which are most, never push out the line that explains a
+// failure.
+type lineKind uint8
+
 const (
-	ordinaryLines = 120
-	failureLines  = 60
+	// lineNone: the decision has no line.
+	lineNone lineKind = iota
+	// lineFailure: a packet was refused, dropped, or kept with its opener.
+	lineFailure
+	// lineOpening: the first packet of a flow, or a repetition of it.
+	lineOpening
+	// lineSampled: a request of the sample, which is the same on every balancer, so
+	// that the story of such a request is whole.
+	lineSampled
+	// linePassing: any other request that passes.
+	linePassing
+	lineKindCount
 )
 
+// lineLimits are the lines a second of each kind.
+var lineLimits = [lineKindCount]int{lineFailure: 60, lineOpening: 50, lineSampled: 30, linePassing: 40}
+
+// sampleShare is that one request in so many is of the sample.
+const sampleShare = 16
+
 // decisionLog writes one line for each decision that touches a request: a flow
 // that opens, a request that passes, a packet that goes nowhere. It belongs to
 // the traffic goroutine.
 type decisionLog struct {
-	logger   *slog.Logger
-	second   int64
-	ordinary int
-	failures int
-	leftOut  int
+	logger  *slog.Logger
+	second  int64
+	written [lineKindCount]int
+	leftOut [lineKindCount]int
 }
 
 // note writes the line of a decision, if it has one and there is room for it.
 func (d *decisionLog) note(packet tokenroute.Packet, request []byte, decision tokenroute.Decision, table *tokenroute.Table, now time.Time) {
-	message, failure := describe(packet, request, decision)
-	if message == "" || !d.room(failure, now) {
+	message, kind := describe(packet, request, decision)
+	if !d.room(kind, now) {
 		return
 	}
 	attributes := []slog.Attr{
@@ -49,45 +68,60 @@
 		attributes = append(attributes, slog.Uint64("version", table.Version), slog.Uint64("revision", table.Revision))
 	}
 	level := slog.LevelInfo
-	if failure {
+	if kind == lineFailure {
 		level = slog.LevelWarn
 	}
 	d.logger.LogAttrs(context.Background(), level, message, attributes...)
 }
 
-func describe(packet tokenroute.Packet, request []byte, decision tokenroute.Decision) (message string, failure bool) {
+func describe(packet tokenroute.Packet, request []byte, decision tokenroute.Decision) (message string, kind lineKind) {
 	switch {
 	case decision.Verdict == tokenroute.Refuse:
-		return "Traffic: flow refused.", true
+		return "Traffic: flow refused.", lineFailure
 	case decision.Verdict == tokenroute.Drop:
-		return "Traffic: packet dropped.", true
+		return "Traffic: packet dropped.", lineFailure
 	case decision.Reason == tokenroute.ReasonKept:
-		return "Traffic: flow kept with its opener.", true
+		return "Traffic: flow kept with its opener.", lineFailure
 	case packet.First:
-		return "Traffic: flow sent to a back end.", false
+		return "Traffic: flow sent to a back end.", lineOpening
+	case request != nil && sampled(request):
+		return "Traffic: request passes.", lineSampled
 	case request != nil:
-		return "Traffic: request passes.", false
+		return "Traffic: request passes.", linePassing
 	}
-	return "", false
+	return "", lineNone
 }
 
-// room tells whether this second's budget has a line left. What was left out
-// is told once the second is over.
-func (d *decisionLog) room(failure bool, now time.Time) bool {
-	if second := now.Unix(); second != d.second {
-		if d.leftOut > 0 {
-			d.logger.Warn("Traffic: lines left out.", "lines", d.leftOut)
-		}
-		d.second, d.ordinary, d.failures, d.leftOut = second, 0, 0, 0
+// sampled tells whether a request is of the sample, by its id.
+func sampled(request []byte) bool {
+	hash := fnv.New32a()
+	_, _ = hash.Write(request)
+	return hash.Sum32()%sampleShare == 0
+}
+
+// room tells whether this second has a line of the kind left. What was left out
+// is told by kind once the second is over.
+func (d *decisionLog) room(kind lineKind, now time.Time) bool {
+	if kind == lineNone {
+		return false
 	}
-	used, limit := &d.ordinary, ordinaryLines
-	if failure {
-		used, limit = &d.failures, failureLines
+	if second := now.Unix(); second != d.second {
+		d.tellLeftOut()
+		d.second = second
+		d.written, d.leftOut = [lineKindCount]int{}, [lineKindCount]int{}
 	}
-	if *used >= limit {
-		d.leftOut++
+	if d.written[kind] >= lineLimits[kind] {
+		d.leftOut[kind]++
 		return false
 	}
-	*used++
+	d.written[kind]++
 	return true
 }
+
+func (d *decisionLog) tellLeftOut() {
+	if d.leftOut == [lineKindCount]int{} {
+		return
+	}
+	d.logger.Warn("Traffic: lines left out.", "failures", d.leftOut[lineFailure], "openings", d.leftOut[lineOpening],
+		"sampled", d.leftOut[lineSampled], "passing", d.leftOut[linePassing])
+}
--- /dev/null
+++ b/internal/balancer/decisionlog_test.go
@@ -0,0 +1,45 @@
+package balancer
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/indigobarrow/indigobarrow/internal/tokenroute"
+)
+
+// On a day with 16781 lines, none told of a request that a balancer had refused:
+// beyond a number of lines a second they were dropped whatever they told.
+func TestPassingRequestsPushOutNoOtherLine(t *testing.T) {
+	var written bytes.Buffer
+	log := decisionLog{logger: slog.New(slog.NewTextHandler(&written, nil))}
+	now := time.Now().Truncate(time.Second)
+	backend := &tokenroute.Backend{ID: "i-1"}
+	passes := tokenroute.Decision{Verdict: tokenroute.Forward, Reason: tokenroute.ReasonToken, Backend: backend}
+	for number := range 1000 {
+		log.note(tokenroute.Packet{Length: 100}, fmt.Appendf(nil, "request-%d", number), passes, nil, now)
+	}
+	log.note(tokenroute.Packet{First: true}, nil, tokenroute.Decision{Verdict: tokenroute.Forward, Backend: backend}, nil, now)
+	log.note(tokenroute.Packet{}, nil, tokenroute.Decision{Verdict: tokenroute.Refuse, Reason: tokenroute.ReasonNoRoute}, nil, now)
+	require.Contains(t, written.String(), "flow sent to a back end")
+	require.Contains(t, written.String(), "flow refused")
+	require.Equal(t, lineLimits[linePassing]+lineLimits[lineSampled], strings.Count(written.String(), "request passes"))
+	log.note(tokenroute.Packet{First: true}, nil, passes, nil, now.Add(time.Second))
+	require.Regexp(t, "lines left out.*failures=0 openings=0 sampled=[0-9]+ passing=9", written.String())
+}
+
+func TestSampleIsTheSameOnEveryBalancer(t *testing.T) {
+	count := 0
+	for number := range 16_000 {
+		if sampled(fmt.Appendf(nil, "request-%d", number)) {
+			count++
+		}
+	}
+	require.InDelta(t, 1000, count, 150)
+	require.Equal(t, sampled([]byte("a3")), sampled([]byte("a3")))
+}
--- a/internal/tokenroute/decide.go
+++ b/internal/tokenroute/decide.go
@@ -103,10 +103,7 @@
 // whether the back end counts as dead for it.
 func (f *Flows) observe(packet Packet, state *flowState, backend *Backend, now time.Time) bool {
 	if packet.Closing {
-		if state != nil {
-			state.ended(packet.Key.Address(), packet.Acknowledged)
-			f.memory.forget(packet.Key, state, now)
-		}
+		f.close(packet, state, now)
 		return false
 	}
 	if state == nil && packet.Length > 0 {
@@ -118,6 +115,20 @@
 	return f.liveness.Observe(packet, state, backend, now)
 }
 
+// close takes the packet that ends a flow. Who opened a contested flow is still
+// remembered, for packets that come after it.
+func (f *Flows) close(packet Packet, state *flowState, now time.Time) {
+	if state == nil {
+		return
+	}
+	state.ended(packet.Key.Address(), packet.Acknowledged)
+	if state.opening.count > 1 {
+		state.release(now)
+		return
+	}
+	f.memory.forget(packet.Key, state, now)
+}
+
 func (f *Flows) decideFirst(route *Route, packet Packet, now time.Time) Decision {
 	if route == nil {
 		return Decision{Verdict: Refuse, Reason: ReasonNoRoute}
--- a/internal/tokenroute/tokenroute_test.go
+++ b/internal/tokenroute/tokenroute_test.go
@@ -247,6 +247,11 @@
 		kept := flows.Decide(table, later(1, two.Token), at(millisecond))
 		require.Equal(t, Decision{Verdict: Forward, Reason: ReasonKept, Backend: one}, kept)
 	}
+	end := later(1, two.Token)
+	end.Closing = true
+	flows.Decide(table, end, at(60_000))
+	last := flows.Decide(table, later(1, two.Token), at(60_010))
+	require.Equal(t, one, last.Backend, "the last packets too")
 }
 
 func TestSilentBackendsAreAvoidedAndTriedAgain(t *testing.T) {
