--- a/internal/replication/doc.go
+++ b/internal/replication/doc.go
@@ -18,6 +18,21 @@
 // store itself, and tries other peers, until its knowledge is young again. The
 // calls to a store that does not answer are spaced by a back-off with jitter.
 //
+// Knowledge outlives those who have it. A call shows what its caller knows, and
+// who is called and knows less asks the caller (Core.Called). A balancer calls
+// those that it has not heard of late (seek.go), so that one that started while
+// the store is silent is found, although it knows nobody but its seeds.
+//
 // Core holds the decisions. It does no I/O; time is an argument and chance
 // comes from a source that is passed in. Server and Client carry the calls.
+//
+// # Usage
+//
+//	for {
+//		peer, found := core.NextPeer(now) // counted as under way
+//		if !found {
+//			break
+//		}
+//		go call(peer) // ends with core.PeerAnswered or core.PeerFailed
+//	}
 package replication
--- a/internal/tokenroute/doc.go
+++ b/internal/tokenroute/doc.go
@@ -18,8 +18,17 @@
 // one is not chosen for new flows while the holder is known. All balancers come
 // to the same holder, since they know the same ids.
 //
-// Flows is the short memory of one traffic goroutine: which back end a new
-// flow's first packet was sent to, so that a repeated first packet can go to
-// another one when the first stays silent, and so that a flow that two back
-// ends have answered stays with the one that opened it.
+// Flows is the short memory of one traffic goroutine, one state for each flow that
+// passed lately (memory.go): which back end a new flow's first packet was sent to,
+// so that a repeated first packet can go to another one when the first stays
+// silent, and so that a flow that two back ends have answered stays with the one
+// that opened it; whether a request waits for an answer; and how the answers of
+// each back end were (summary.go).
+//
+// # Usage
+//
+//	table := NewTable(directory, options) // in the control goroutine
+//	decision := flows.Decide(table, packet, now) // in the traffic goroutine
+//	for _, abandoned := range flows.TakeAbandoned() { ... }
+//	if summary := flows.Summarize(now); summary != nil { ... }
 package tokenroute
