Ask who knows before everything is fetched; read members first after an outage

Cause: a balancer that knew nothing asked three others at once, and each that knew something sent it everything.

Asking now brings the revision only, and everything is fetched from the first that has one. After a failed call, a balancer that knows nothing reads the entries of the balancers first; where they are many, only the elected ones read the store, and the others wait for them as at a large store.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -45,6 +45,9 @@
 	Changes(ctx context.Context, after uint64, wait time.Duration) (*apiv1.DirectoryBatch, error)
 	// Routes reads the table of routes alone; the batch claims no revision.
 	Routes(ctx context.Context) (*apiv1.DirectoryBatch, error)
+	// Members reads the entries of the balancers alone; the batch claims no
+	// revision.
+	Members(ctx context.Context) (*apiv1.DirectoryBatch, error)
 	// Lease asks for a lease and returns its number.
 	Lease(ctx context.Context, length time.Duration) (uint64, error)
 	// Renew renews a lease. It returns ErrLeaseOver when there is none.
--- a/internal/balancer/calls.go
+++ b/internal/balancer/calls.go
@@ -50,6 +50,10 @@
 		ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 		defer cancel()
 		return store.Changes(ctx, after, wait)
+	case replication.PollMembers:
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		return store.Members(ctx)
 	case replication.PollNone, replication.PollPage:
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -98,6 +102,7 @@
 	if peer.Waits() {
 		request.WaitMilliseconds = uint32(followWait.Milliseconds())
 	}
+	request.WithoutChanges = peer.Purpose == replication.PurposeAsk
 	if peer.Purpose == replication.PurposeFollow {
 		request.Findings = encodeFindings(c.findings.here(now))
 	}
@@ -156,6 +161,8 @@
 	confirmedAt time.Time
 	until       time.Time
 	findings    []*apiv1.BackendFinding
+	// withoutChanges is set when it asks for the revision only.
+	withoutChanges bool
 	// takesPacked tells whether the follower understands packed tables.
 	takesPacked bool
 	reply       chan *apiv1.FollowReply
@@ -195,8 +202,11 @@
 		until:       now.Add(time.Duration(request.GetWaitMilliseconds()) * time.Millisecond),
 		findings:    request.GetFindings(),
 		takesPacked: request.GetTakesPacked(),
-		reply:       make(chan *apiv1.FollowReply, 1),
-		gone:        ctx.Done(),
+
+		withoutChanges: request.GetWithoutChanges(),
+
+		reply: make(chan *apiv1.FollowReply, 1),
+		gone:  ctx.Done(),
 	}
 	select {
 	case c.followers <- asking:
@@ -261,6 +271,10 @@
 
 // newsFor returns what is new to a follower, in the form that it takes.
 func (c *control) newsFor(asking *follower) *apiv1.DirectoryBatch {
+	if asking.withoutChanges {
+		// Without a revision, the batch claims and confirms nothing.
+		return &apiv1.DirectoryBatch{}
+	}
 	batch := c.known.Since(asking.after)
 	if !asking.takesPacked {
 		return batch
--- a/internal/replication/call.go
+++ b/internal/replication/call.go
@@ -10,8 +10,8 @@
 const (
 	// PurposeFollow waits for news at the balancer that this one follows.
 	PurposeFollow Purpose = iota
-	// PurposeAsk: a balancer that knows nothing asks several others at once,
-	// and waits at those that know nothing either.
+	// PurposeAsk: a balancer that knows nothing asks several others at once
+	// whether they know anything, and waits at those that do not.
 	PurposeAsk
 	// PurposeFetch brings what another balancer has shown to know.
 	PurposeFetch
@@ -146,6 +146,10 @@
 		c.told(asOf)
 		return
 	}
+	if peer.Purpose == PurposeAsk {
+		c.askAnswered(peer, asOf, now)
+		return
+	}
 	stale := now.Sub(asOf) > c.config.StaleAfter
 	switch {
 	case stale && !c.knows():
@@ -158,6 +162,22 @@
 	}
 }
 
+// askAnswered takes the answer of a balancer that was asked whether it knows
+// anything. Everything is fetched from the first one that does.
+func (c *Core) askAnswered(peer Peer, asOf, now time.Time) {
+	if c.knows() {
+		return
+	}
+	c.paused[peer.Address] = now.Add(eagerPause)
+	if now.Sub(asOf) < knowsNothingAge {
+		c.hints = addBounded(c.hints, peer.Address, hintsLimit)
+	}
+}
+
+// knowsNothingAge is an age of knowledge that only a balancer tells that knows
+// nothing.
+const knowsNothingAge = 500 * time.Hour
+
 // PeerFailed passes a peer over for a while, a short one while nothing is known
 // here: it may be starting at this moment, as this balancer is.
 func (c *Core) PeerFailed(peer Peer, now time.Time) {
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -48,6 +48,10 @@
 	PollSnapshot
 	// PollChanges waits for the changes of a large store.
 	PollChanges
+	// PollMembers reads the entries of the balancers only. After an outage, a
+	// balancer that knows nothing so learns who should read a large store, before
+	// all of them read it over links that may be narrow.
+	PollMembers
 )
 
 // changesPause lets changes gather between two calls that wait for them.
@@ -75,6 +79,8 @@
 	confirmedAt time.Time
 	nextPoll    time.Time
 	failures    int
+	// membersRead is set once the entries of the balancers were read alone.
+	membersRead bool
 	// large is set when the store has more than one page.
 	large        bool
 	nextSnapshot time.Time
@@ -193,6 +199,10 @@
 	if c.knows() && asOf.Sub(c.confirmedAt) > c.config.StaleAfter {
 		c.returnedAt = asOf
 	}
+	if !c.knows() {
+		// Who answered meanwhile knows hardly more.
+		c.hints = nil
+	}
 	c.confirmedAt = asOf
 	return true
 }
@@ -207,16 +217,26 @@
 		return PollNone
 	}
 	switch {
+	case !c.knows() && c.failures > 0 && !c.membersRead:
+		return PollMembers
+	case c.leavesToOthers(now):
+		return PollNone
 	case !c.large:
 		return PollPage
-	case c.confirmedAt.IsZero() && !c.elected() && now.Before(c.patienceUntil):
-		return PollNone
 	case c.confirmedAt.IsZero() || !now.Before(c.nextSnapshot):
 		return PollSnapshot
 	}
 	return PollChanges
 }
 
+// leavesToOthers tells whether this balancer knows nothing, but leaves a store
+// that is large, or has many balancers, to those that should read it and waits for
+// them.
+func (c *Core) leavesToOthers(now time.Time) bool {
+	many := c.large || c.membersRead && len(c.order)+len(c.others) > c.config.SharedOrderLimit
+	return many && !c.knows() && !c.elected() && now.Before(c.patienceUntil)
+}
+
 // elected tells whether this balancer is known to be the reader, and does not
 // only believe so because it knows no other.
 func (c *Core) elected() bool {
@@ -238,13 +258,19 @@
 	case PollSnapshot:
 		half := c.config.AuditInterval / 2
 		c.nextSnapshot = now.Add(half + time.Duration(c.chance.Int64N(int64(half)+1)))
-	case PollNone, PollPage:
+	case PollNone, PollPage, PollMembers:
 	}
 }
 
 // PollSucceeded ends a back-off. A first page that was not all makes the store
 // a large one, which is then looked at again at once.
 func (c *Core) PollSucceeded(poll Poll, complete bool, now time.Time) {
+	if poll == PollMembers {
+		c.membersRead = true
+		c.nextPoll = now
+		c.patienceUntil = now.Add(c.config.StartPatience + time.Duration(c.chance.Int64N(int64(c.config.StartPatience)+1)))
+		return
+	}
 	c.failures = 0
 	c.alone = !c.Reader()
 	if poll == PollPage && c.large == complete {
--- a/internal/replication/outage_test.go
+++ b/internal/replication/outage_test.go
@@ -183,6 +183,9 @@
 		return
 	}
 	call.from.core.PeerAnswered(call.peer, o.now.Add(-age), o.now)
+	if call.peer.Purpose == PurposeAsk {
+		return
+	}
 	o.learn(call.from, call.to.revision, o.now.Add(-age))
 }
 
@@ -324,3 +327,63 @@
 		}
 	}
 }
+
+// Asking brings word of who knows; everything is fetched from one of them.
+func TestFreshBalancerFetchesEverythingOnce(t *testing.T) {
+	core := newCore(1, address(7), address(8), address(9))
+	core.SetBalancers(nil)
+	var asked []Peer
+	for {
+		peer, found := core.NextPeer(after(0))
+		if !found {
+			break
+		}
+		require.Equal(t, PurposeAsk, peer.Purpose)
+		asked = append(asked, peer)
+	}
+	require.Len(t, asked, 3)
+	core.PeerAnswered(asked[0], after(-1_000_000_000_000), after(10))
+	core.PeerAnswered(asked[1], after(-5000), after(11))
+	core.PeerAnswered(asked[2], after(-5000), after(12))
+	peer, found := core.NextPeer(after(13))
+	require.True(t, found)
+	require.Equal(t, Peer{Address: address(8), Purpose: PurposeFetch, Everything: true}, peer)
+	core.PeerAnswered(peer, after(-5000), after(20))
+	core.Confirm(after(-5000))
+	for {
+		peer, found = core.NextPeer(after(21))
+		if !found {
+			break
+		}
+		require.NotEqual(t, PurposeFetch, peer.Purpose)
+	}
+}
+
+// After an outage, all balancers of a large site read the whole store, each over
+// its own link, and served 2 s later than the store did.
+func TestLargeSiteLeavesTheStoreToItsReadersAfterAnOutage(t *testing.T) {
+	readers := 0
+	for place := range 40 {
+		core := newCore(place, address(1))
+		core.config.SharedOrderLimit = 16
+		core.SetBalancers(nil)
+		core.PollStarted(PollPage, after(0))
+		core.PollFailed(after(1000))
+		require.Equal(t, PollMembers, core.NextPoll(after(2000)))
+		core.PollStarted(PollMembers, after(2000))
+		core.SetBalancers(zoneOf(40))
+		core.PollSucceeded(PollMembers, false, after(2010))
+		if core.NextPoll(after(2011)) == PollPage {
+			readers++
+			continue
+		}
+		require.Equal(t, PollPage, core.NextPoll(after(3100)), "patience ends")
+	}
+	require.Equal(t, 1, readers)
+	small := newCore(1, address(1))
+	small.config.SharedOrderLimit = 16
+	small.PollFailed(after(0))
+	small.SetBalancers(zoneOf(8))
+	small.PollSucceeded(PollMembers, false, after(2010))
+	require.Equal(t, PollPage, small.NextPoll(after(2011)), "a small site reads at once")
+}
