--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -50,7 +50,7 @@
 	client    *replication.Client
 	packer    replication.Packer
 	programs  programs
-	demand    demand
+	observed  observed
 	findings  findings
 	followers chan *follower
 	waiting   []*follower
@@ -90,7 +90,7 @@
 		}, chance, balancer.started),
 		client:    replication.NewClient(balancer.logger),
 		programs:  programs{compiled: make(map[string]*compiledPolicy)},
-		demand:    newDemand(),
+		observed:  newObserved(),
 		followers: make(chan *follower, followersLimit),
 		former:    make(map[flow.Address]map[string]time.Time),
 	}
@@ -148,13 +148,14 @@
 	}
 	c.nextLook = now.Add(lookPause)
 	summary := c.balancer.traffic.observed.Load()
-	changed := c.demand.take(summary, now)
-	if summary != nil {
+	changed := c.observed.take(summary, now)
+	c.findings.own = nil
+	if summary != nil && now.Sub(summary.At) <= observedFor {
 		c.findings.own = summary.Findings
 	}
-	changed = c.demand.judge(c.findings.all(now), c.core.OrderSize()) || changed
+	changed = c.observed.judge(c.findings.all(now), c.core.OrderSize()) || changed
 	if changed {
-		c.balancer.logger.Debug("Control: shares change.", "unwell", len(c.demand.unwell), "demand", c.demand.describe())
+		c.balancer.logger.Debug("Control: shares change.", "unwell", len(c.observed.unwell), "demand", c.observed.describe())
 	}
 	return changed
 }
@@ -208,7 +209,7 @@
 		balancers := c.known.Balancers()
 		c.core.SetBalancers(balancers)
 		c.balancer.noteAnnounced(balancers)
-		c.demand.balancers = c.balancersInZone(balancers)
+		c.observed.balancers = c.balancersInZone(balancers)
 	}
 	// A batch without a revision is a part of what the store holds, or comes
 	// from a peer that knows nothing itself.
--- a/internal/balancer/demand.go
+++ b/internal/balancer/observed.go
@@ -21,10 +21,11 @@
 	observedFor = 2 * time.Second
 )
 
-// demand estimates how many requests of this zone's clients wait at a time, by
-// pool. Routers spread a zone's packets evenly over its balancers, so each sees
-// one part in as many.
-type demand struct {
+// observed is what was observed, as tables are made with it: the demand on each
+// pool, and the back ends that are unwell. Demand is how many requests of this
+// zone's clients wait at a time. Routers spread a zone's packets evenly over its
+// balancers, so each sees one part in as many.
+type observed struct {
 	seenAt time.Time
 	// waiting is how many wait here, smoothed.
 	waiting map[string]float64
@@ -40,44 +41,44 @@
 	balancers int
 }
 
-func newDemand() demand {
-	return demand{waiting: make(map[string]float64), remote: make(map[string]float64),
+func newObserved() observed {
+	return observed{waiting: make(map[string]float64), remote: make(map[string]float64),
 		healthWeights: make(map[uint64]float64), balancers: 1}
 }
 
 // startTable takes the back ends that a new table is made with.
-func (d *demand) startTable(zones map[string]*poolZones) {
-	d.zones = zones
-	clear(d.healthWeights)
-	for number, health := range d.unwell {
-		d.healthWeights[number] = shares.HealthWeight(health)
+func (o *observed) startTable(zones map[string]*poolZones) {
+	o.zones = zones
+	clear(o.healthWeights)
+	for number, health := range o.unwell {
+		o.healthWeights[number] = shares.HealthWeight(health)
 	}
-	clear(d.remote)
+	clear(o.remote)
 	for name, zone := range zones {
-		d.remote[name] = d.remoteShare(name, zone)
+		o.remote[name] = o.remoteShare(name, zone)
 	}
 }
 
-func (d *demand) remoteShare(pool string, zone *poolZones) float64 {
-	return shares.Remote(d.waiting[pool]*float64(d.balancers), zone.localSlots, zone.remoteSlots)
+func (o *observed) remoteShare(pool string, zone *poolZones) float64 {
+	return shares.Remote(o.waiting[pool]*float64(o.balancers), zone.localSlots, zone.remoteSlots)
 }
 
 // take follows a summary and tells whether the table should be made anew.
-func (d *demand) take(summary *observe.Summary, now time.Time) bool {
+func (o *observed) take(summary *observe.Summary, now time.Time) bool {
 	if summary == nil || now.Sub(summary.At) > observedFor {
-		clear(d.waiting)
+		clear(o.waiting)
 		return false
 	}
-	if !summary.At.After(d.seenAt) {
+	if !summary.At.After(o.seenAt) {
 		return false
 	}
-	part := 1 - math.Exp(-summary.At.Sub(d.seenAt).Seconds()/demandTime.Seconds())
-	d.seenAt = summary.At
+	part := 1 - math.Exp(-summary.At.Sub(o.seenAt).Seconds()/demandTime.Seconds())
+	o.seenAt = summary.At
 	changed := false
 	for pool, waiting := range summary.Waiting {
-		d.waiting[pool] += part * (waiting - d.waiting[pool])
-		if zone := d.zones[pool]; zone != nil {
-			changed = changed || math.Abs(d.remoteShare(pool, zone)-d.remote[pool]) > shareStep
+		o.waiting[pool] += part * (waiting - o.waiting[pool])
+		if zone := o.zones[pool]; zone != nil {
+			changed = changed || math.Abs(o.remoteShare(pool, zone)-o.remote[pool]) > shareStep
 		}
 	}
 	return changed
@@ -85,38 +86,38 @@
 
 // judge takes what so many balancers found of back ends, and tells whether the table
 // should be made anew.
-func (d *demand) judge(found map[uint64]observe.Finding, observers int) bool {
-	unwell := make(map[uint64]observe.Health, len(d.unwell))
+func (o *observed) judge(found map[uint64]observe.Finding, observers int) bool {
+	unwell := make(map[uint64]observe.Health, len(o.unwell))
 	for number, finding := range found {
-		if health := finding.Health(observers, d.unwell[number]); !health.Well() {
+		if health := finding.Health(observers, o.unwell[number]); !health.Well() {
 			unwell[number] = health
 		}
 	}
-	d.unwell = unwell
-	return d.healthChanged()
+	o.unwell = unwell
+	return o.healthChanged()
 }
 
 // healthWeight is the factor for the weight of a back end.
-func (d *demand) healthWeight(number uint64) float64 { return shares.HealthWeight(d.unwell[number]) }
+func (o *observed) healthWeight(number uint64) float64 { return shares.HealthWeight(o.unwell[number]) }
 
 // use is the part of the slots of a pool in this zone that are in use.
-func (d *demand) use(pool string) float64 {
-	zone := d.zones[pool]
+func (o *observed) use(pool string) float64 {
+	zone := o.zones[pool]
 	if zone == nil || zone.localSlots == 0 {
 		return 0
 	}
-	return d.waiting[pool] * float64(d.balancers) / zone.localSlots
+	return o.waiting[pool] * float64(o.balancers) / zone.localSlots
 }
 
 // healthChanged tells whether the weight of a back end moves by enough.
-func (d *demand) healthChanged() bool {
-	for number := range d.unwell {
-		if applied, found := d.healthWeights[number]; !found || math.Abs(d.healthWeight(number)-applied) > healthStep {
+func (o *observed) healthChanged() bool {
+	for number := range o.unwell {
+		if applied, found := o.healthWeights[number]; !found || math.Abs(o.healthWeight(number)-applied) > healthStep {
 			return true
 		}
 	}
-	for number := range d.healthWeights {
-		if d.unwell[number].Well() {
+	for number := range o.healthWeights {
+		if o.unwell[number].Well() {
 			return true
 		}
 	}
@@ -124,10 +125,10 @@
 }
 
 // describe is the demand by pool, for the log.
-func (d *demand) describe() map[string]float64 {
-	described := make(map[string]float64, len(d.waiting))
-	for pool, waiting := range d.waiting {
-		described[pool] = math.Round(waiting*float64(d.balancers)*10) / 10
+func (o *observed) describe() map[string]float64 {
+	described := make(map[string]float64, len(o.waiting))
+	for pool, waiting := range o.waiting {
+		described[pool] = math.Round(waiting*float64(o.balancers)*10) / 10
 	}
 	return described
 }
--- a/internal/balancer/demand_test.go
+++ b/internal/balancer/observed_test.go
@@ -18,7 +18,7 @@
 	asked := false
 	for elapsed := time.Duration(0); elapsed < 2*time.Second; elapsed += 250 * time.Millisecond {
 		summary := &observe.Summary{At: from.Add(elapsed), Waiting: map[string]float64{pool: waiting}}
-		asked = control.demand.take(summary, from.Add(elapsed)) || asked
+		asked = control.observed.take(summary, from.Add(elapsed)) || asked
 	}
 	return asked
 }
@@ -50,9 +50,9 @@
 	remote := directory.BackendEntry{PoolBackend: &apiv1.PoolBackend{Pool: "lending", Zone: "giza"}}
 	control.observeWaiting("lending", 1, now)
 	alone := control.weigher(now)(remote)
-	control.demand.balancers = control.balancersInZone([]*apiv1.Balancer{
+	control.observed.balancers = control.balancersInZone([]*apiv1.Balancer{
 		{Name: "edge-1", Zone: "maadi"}, {Name: "edge-2", Zone: "maadi"}, {Name: "edge-3", Zone: "maadi"}, {Name: "edge-4", Zone: "giza"}})
-	require.Equal(t, 3, control.demand.balancers)
+	require.Equal(t, 3, control.observed.balancers)
 	require.Greater(t, control.weigher(now)(remote), alone)
 }
 
@@ -63,8 +63,8 @@
 	control.addBackends("lending", "maadi", 4, now)
 	control.addBackends("lending", "giza", 8, now)
 	control.observeWaiting("lending", 400, now)
-	require.NotEmpty(t, control.demand.waiting)
+	require.NotEmpty(t, control.observed.waiting)
 	old := &observe.Summary{At: now.Add(2 * time.Second), Waiting: map[string]float64{"lending": 400}}
-	control.demand.take(old, now.Add(10*time.Second))
-	require.Empty(t, control.demand.waiting)
+	control.observed.take(old, now.Add(10*time.Second))
+	require.Empty(t, control.observed.waiting)
 }
--- a/internal/balancer/weigh.go
+++ b/internal/balancer/weigh.go
@@ -41,7 +41,7 @@
 	off := c.balancer.off
 	spread := now.Sub(c.firstAt) < spreadTime && !off.Has(mechanism.SpreadAfterStart) || off.Has(mechanism.LocalZone)
 	zones := c.zonesOfPools(zone)
-	c.demand.startTable(zones)
+	c.observed.startTable(zones)
 	return func(backend directory.BackendEntry) uint32 {
 		local := backend.GetZone() == zone
 		if program := c.programs.find(c.known, backend.GetPool()); program != nil {
@@ -54,7 +54,7 @@
 			weight = c.remoteWeight(backend.GetPool(), zones[backend.GetPool()])
 		}
 		if !off.Has(mechanism.Health) {
-			weight *= c.demand.healthWeight(backend.GetNumber())
+			weight *= c.observed.healthWeight(backend.GetNumber())
 		}
 		return uint32(math.Ceil(weight * rule.MaximumWeight))
 	}
@@ -95,7 +95,7 @@
 	if pool == nil || pool.localBackends < localEnough {
 		return 1
 	}
-	remote := c.demand.remote[name]
+	remote := c.observed.remote[name]
 	if c.balancer.off.Has(mechanism.ZoneSharing) {
 		remote = shares.Remote(0, pool.localSlots, pool.remoteSlots)
 	}
@@ -104,7 +104,7 @@
 }
 
 func (c *control) evaluate(program *policy.Program, backend directory.BackendEntry, local bool) (uint32, bool) {
-	health := c.demand.unwell[backend.GetNumber()]
+	health := c.observed.unwell[backend.GetNumber()]
 	facts := policy.Facts{
 		Name:          backend.GetId(),
 		Zone:          backend.GetZone(),
@@ -117,7 +117,7 @@
 		WarmupSeconds: (time.Duration(backend.GetWarmupMilliseconds()) * time.Millisecond).Seconds(),
 		Failing:       health.Failing,
 		Slow:          health.Slow,
-		Use:           c.demand.use(backend.GetPool()),
+		Use:           c.observed.use(backend.GetPool()),
 	}
 	if backend.GetDraining() {
 		facts.MachineState = stateLeaving
--- a/internal/tokenroute/doc.go
+++ b/internal/tokenroute/doc.go
@@ -8,9 +8,9 @@
 // balancer that has just started forwards the flows of one that has just died.
 //
 // A Table is an immutable index over a directory: routes by address, back ends
-// by token. It answers two questions, Resolve for packets of open flows and
-// Choose for new flows, both as pure functions, so that balancers with the same
-// knowledge decide alike.
+// by token. It answers two questions, Resolve for packets of open flows, alike on
+// all balancers with the same knowledge, and Choose for new flows, which also asks
+// how much of the back ends is in use.
 //
 // Tokens are shorter than the back ends' ids, so two back ends may share one.
 // A token is looked up among the pools that the packet's route allows; where
