--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,15 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build demo test check unit model long bench generate lab capacity fuzz setup-model soak soak-regressions
+.PHONY: all help build demo test check unit model long bench generate lab capacity fuzz setup-model soak soak-regressions
 
 all: build
 
+# help lists the targets with what stands before them here.
+help:
+	@awk '/^#/ { if (text == "") text = substr($$0, 3); else text = text " " substr($$0, 3); next } \
+		/^[a-z][a-z-]*:/ { name = $$1; sub(":", "", name); printf "  %-18s %s\n", name, text } { text = "" }' Makefile
+
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
