--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 
 .PHONY: all help build demo test check unit model long bench generate lab capacity fuzz setup-model soak soak-regressions
 
+# all builds the programs.
 all: build
 
 # help lists the targets with what stands before them here.
@@ -12,6 +13,7 @@
 	@awk '/^#/ { if (text == "") text = substr($$0, 3); else text = text " " substr($$0, 3); next } \
 		/^[a-z][a-z-]*:/ { name = $$1; sub(":", "", name); printf "  %-18s %s\n", name, text } { text = "" }' Makefile
 
+# build builds the programs into bin/.
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
@@ -22,6 +24,7 @@
 # test is what CI runs.
 test: check model unit
 
+# check runs the formatter and the linters.
 check:
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); echo "gofmt: the files above differ"; exit 1; }
 	$(GO) vet ./...
@@ -30,6 +33,7 @@
 # Tests that KNOWN-RED.txt lists are run apart, printed, and passed over.
 KNOWN_RED := $(shell cut -d: -f1 KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 
+# unit runs all tests.
 unit: build
 	INDIGOBARROW_BIN=$(CURDIR)/$(BIN) $(GO) test -count=1 -timeout 12m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
 	@if [ -n "$(KNOWN_RED)" ]; then cat KNOWN-RED.txt; \
@@ -39,6 +43,7 @@
 model: setup-model
 	./model/check.sh
 
+# setup-model installs what model needs.
 setup-model:
 	@command -v spin >/dev/null && command -v gcc >/dev/null || { apt-get update -qq && apt-get install -y -qq spin gcc libc6-dev; }
 
@@ -46,9 +51,11 @@
 long: build
 	INDIGOBARROW_LONG=1 $(GO) test -count=1 -timeout 60m ./internal/lab/ ./internal/core/ -rapid.checks=400
 
+# bench measures speeds.
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./internal/rule/ ./internal/router/ ./internal/flowtable/ ./internal/frame/ ./internal/dataplane/ ./internal/explain/ ./internal/tokenroute/ ./internal/directory/ ./platform/
 
+# fuzz runs the fuzzers for some minutes.
 fuzz:
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 60s ./internal/frame/
 	$(GO) test -run "^$$" -fuzz FuzzDecode -fuzztime 30s ./platform/
@@ -59,6 +66,7 @@
 lab: build
 	./$(BIN)/indigobarrow lab run --report lab-report.html
 
+# capacity prints the costs of networks without tokens at the size of two years.
 capacity: build
 	./$(BIN)/indigobarrow capacity
 
@@ -68,8 +76,9 @@
 		--go-drpc_out=. --go-drpc_opt=module=github.com/indigobarrow/indigobarrow \
 		proto/indigobarrow/v1/*.proto
 
-# soak runs real processes under random faults, a fresh seed each minute.
+# SOAK_MINUTES is how many times soak runs.
 SOAK_MINUTES ?= 5
+# soak runs real processes under random faults, a fresh seed each minute.
 soak: build
 	@for minute in $$(seq $(SOAK_MINUTES)); do \
 		INDIGOBARROW_BIN=$(CURDIR)/$(BIN) INDIGOBARROW_SOAK_SECONDS=45 INDIGOBARROW_SOAK_SEED=$$(date +%s) \
