--- a/internal/balancer/calls.go
+++ b/internal/balancer/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -170,6 +171,12 @@
 	gone <-chan struct{}
 }
 
+// follows tells whether the call is that of a balancer that follows this one, and
+// not one to tell, to ask or to fetch, which brings no findings.
+func (f *follower) follows() bool {
+	return len(f.findings) > 0 || f.until.After(f.takenAt) && !f.withoutChanges
+}
+
 // hasGone tells whether nobody waits for the answer any more.
 func (f *follower) hasGone() bool {
 	select {
@@ -194,19 +201,15 @@
 			Revision:    request.GetAfter(),
 			ConfirmedAt: now.Add(-age),
 		},
-		after:   request.GetAfter(),
-		takenAt: now,
-
-		confirmedAt: now.Add(-age),
-
-		until:       now.Add(time.Duration(request.GetWaitMilliseconds()) * time.Millisecond),
-		findings:    request.GetFindings(),
-		takesPacked: request.GetTakesPacked(),
-
+		after:          request.GetAfter(),
+		takenAt:        now,
+		confirmedAt:    now.Add(-age),
+		until:          now.Add(time.Duration(request.GetWaitMilliseconds()) * time.Millisecond),
+		findings:       request.GetFindings(),
 		withoutChanges: request.GetWithoutChanges(),
-
-		reply: make(chan *apiv1.FollowReply, 1),
-		gone:  ctx.Done(),
+		takesPacked:    request.GetTakesPacked(),
+		reply:          make(chan *apiv1.FollowReply, 1),
+		gone:           ctx.Done(),
 	}
 	select {
 	case c.followers <- asking:
@@ -224,7 +227,9 @@
 // take lets a follower wait, or answers it at once when there is no room.
 func (c *control) take(asking *follower) {
 	c.core.Called(asking.caller, c.known.Revision(), asking.takenAt)
-	c.findings.takeFollower(asking.caller.Address, asking.findings, asking.takenAt)
+	if asking.follows() {
+		c.findings.takeFollower(asking.caller.Address, asking.findings, asking.takenAt)
+	}
 	if len(c.waiting) >= followersLimit {
 		asking.until = asking.takenAt
 	}
@@ -234,9 +239,10 @@
 // answerWaiting answers the followers for whom there is news: entries, or a
 // younger confirmation than when they asked.
 func (c *control) answerWaiting(now time.Time) {
+	found := sync.OnceValue(func() []*apiv1.BackendFinding { return encodeFindings(c.findings.all(now)) })
 	kept := c.waiting[:0]
 	for _, asking := range c.waiting {
-		if asking.hasGone() || c.answer(asking, now) {
+		if asking.hasGone() || c.answer(asking, now, found) {
 			continue
 		}
 		c.core.Heard(asking.caller.Address, now)
@@ -246,7 +252,8 @@
 	c.waiting = kept
 }
 
-func (c *control) answer(asking *follower, now time.Time) bool {
+// answer answers a follower if there is news for it, and tells whether it did.
+func (c *control) answer(asking *follower, now time.Time, found func() []*apiv1.BackendFinding) bool {
 	age, known := c.core.Age(now)
 	if !known && now.Before(asking.until) {
 		return false
@@ -259,7 +266,7 @@
 		Batch:              c.newsFor(asking),
 		AgeMilliseconds:    uint32(age.Milliseconds()) + 1,
 		WaitedMilliseconds: uint32(now.Sub(asking.takenAt).Milliseconds()),
-		Findings:           encodeFindings(c.findings.all(now)),
+		Findings:           found(),
 	}
 	if !known {
 		reply.AgeMilliseconds = uint32(unknownAge.Milliseconds())
--- a/internal/balancer/findings_test.go
+++ b/internal/balancer/findings_test.go
@@ -9,6 +9,7 @@
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/directory"
 	"github.com/indigobarrow/indigobarrow/internal/observe"
+	"github.com/indigobarrow/indigobarrow/internal/replication"
 	"github.com/indigobarrow/indigobarrow/internal/rule"
 )
 
@@ -71,3 +72,20 @@
 	require.Equal(t, uint32(250), control.weigher(now)(entry))
 	require.False(t, control.observed.judge(failing(16), 1), "the table was made with it")
 }
+
+// A call that tells, asks or fetches brings no findings, and ends none.
+func TestOnlyFollowersBringFindings(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	caller := replication.Caller{Address: "10.0.0.2:8166"}
+	follow := &follower{caller: caller, findings: encodeFindings(failing(9)), takenAt: now, until: now.Add(time.Second),
+		reply: make(chan *apiv1.FollowReply, 1)}
+	control.take(follow)
+	control.take(&follower{caller: caller, takenAt: now, until: now, reply: make(chan *apiv1.FollowReply, 1)})
+	control.take(&follower{caller: caller, takenAt: now, until: now.Add(time.Second), withoutChanges: true,
+		reply: make(chan *apiv1.FollowReply, 1)})
+	require.InDelta(t, 9, control.findings.all(now)[7].Failing.Evidence, 1e-6)
+	well := &follower{caller: caller, takenAt: now, until: now.Add(time.Second), reply: make(chan *apiv1.FollowReply, 1)}
+	control.take(well)
+	require.Empty(t, control.findings.all(now), "a follower that finds nothing any more says so")
+}
