--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -15,6 +15,7 @@
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/events"
+	"github.com/indigobarrow/indigobarrow/internal/mechanism"
 	"github.com/indigobarrow/indigobarrow/internal/replication"
 	"github.com/indigobarrow/indigobarrow/internal/tokenroute"
 )
@@ -72,6 +73,8 @@
 	settings atomic.Pointer[apiv1.BalancerSettings]
 	outside  Outside
 	logger   *slog.Logger
+	// off are the mechanisms that are switched off.
+	off      mechanism.Set
 	started  time.Time
 	bus      *events.Bus
 	table    atomic.Pointer[tokenroute.Table]
@@ -91,9 +94,14 @@
 
 // New opens the sockets of a balancer.
 func New(settings *apiv1.BalancerSettings, outside Outside, logger *slog.Logger) (*Balancer, error) {
+	off, err := mechanism.Parse(settings.GetWithout())
+	if err != nil {
+		return nil, errors.Wrap(err, "settings: without")
+	}
 	made := &Balancer{
 		outside: outside,
 		logger:  logger,
+		off:     off,
 		started: time.Now(),
 		bus:     events.NewBus(),
 	}
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -11,6 +11,7 @@
 	"github.com/indigobarrow/indigobarrow/internal/directory"
 	"github.com/indigobarrow/indigobarrow/internal/events"
 	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/mechanism"
 	"github.com/indigobarrow/indigobarrow/internal/replication"
 	"github.com/indigobarrow/indigobarrow/internal/tokenroute"
 )
@@ -289,7 +290,7 @@
 // store may come back.
 func (c *control) lapse() tokenroute.Lapse {
 	returned := c.core.ReturnedAt()
-	if returned.IsZero() {
+	if returned.IsZero() || c.balancer.off.Has(mechanism.LapseGrace) {
 		return tokenroute.Lapse{}
 	}
 	length := time.Duration(c.balancer.settings.Load().GetLapseMilliseconds()) * time.Millisecond
--- a/internal/balancer/demand.go
+++ b/internal/balancer/demand.go
@@ -49,6 +49,9 @@
 func (d *demand) startTable(zones map[string]*poolZones) {
 	d.zones = zones
 	clear(d.healthWeights)
+	for number, health := range d.unwell {
+		d.healthWeights[number] = shares.HealthWeight(health)
+	}
 	clear(d.remote)
 	for name, zone := range zones {
 		d.remote[name] = d.remoteShare(name, zone)
@@ -93,25 +96,27 @@
 	return d.healthChanged()
 }
 
-// healthWeight is the factor for the weight of a back end, for the table that is
-// being made.
-func (d *demand) healthWeight(number uint64) float64 {
-	weight := shares.HealthWeight(d.unwell[number])
-	if weight < 1 {
-		d.healthWeights[number] = weight
+// healthWeight is the factor for the weight of a back end.
+func (d *demand) healthWeight(number uint64) float64 { return shares.HealthWeight(d.unwell[number]) }
+
+// use is the part of the slots of a pool in this zone that are in use.
+func (d *demand) use(pool string) float64 {
+	zone := d.zones[pool]
+	if zone == nil || zone.localSlots == 0 {
+		return 0
 	}
-	return weight
+	return d.waiting[pool] * float64(d.balancers) / zone.localSlots
 }
 
 // healthChanged tells whether the weight of a back end moves by enough.
 func (d *demand) healthChanged() bool {
-	for number, applied := range d.healthWeights {
-		if math.Abs(shares.HealthWeight(d.unwell[number])-applied) > healthStep {
+	for number := range d.unwell {
+		if applied, found := d.healthWeights[number]; !found || math.Abs(d.healthWeight(number)-applied) > healthStep {
 			return true
 		}
 	}
-	for number, health := range d.unwell {
-		if _, applied := d.healthWeights[number]; !applied && shares.HealthWeight(health) < 1-healthStep {
+	for number := range d.healthWeights {
+		if d.unwell[number].Well() {
 			return true
 		}
 	}
--- a/internal/balancer/findings_test.go
+++ b/internal/balancer/findings_test.go
@@ -60,3 +60,14 @@
 	require.True(t, control.demand.judge(nil, 1))
 	require.Equal(t, uint32(rule.MaximumWeight), control.weigher(now)(entry))
 }
+
+// A policy has the last word on what is observed.
+func TestPoliciesSeeWhatIsObserved(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	entry := directory.BackendEntry{PoolBackend: &apiv1.PoolBackend{Id: "i-7", Number: 7, Pool: "lending", Zone: "maadi"}}
+	control.known.Apply(policyBatch(1, "lending", "failing > 0.3 ? 0.25 : 1.0 - slow - 0.0 * use"), now)
+	require.True(t, control.demand.judge(failing(16), 1))
+	require.Equal(t, uint32(250), control.weigher(now)(entry))
+	require.False(t, control.demand.judge(failing(16), 1), "the table was made with it")
+}
--- a/internal/balancer/traffic.go
+++ b/internal/balancer/traffic.go
@@ -33,7 +33,7 @@
 	return &traffic{
 		balancer: balancer,
 		socket:   socket,
-		flows:    tokenroute.NewFlows(),
+		flows:    tokenroute.NewFlows(balancer.off),
 		log:      decisionLog{logger: balancer.logger},
 		input:    make([]byte, size),
 		output:   make([]byte, 0, 2*size),
--- a/internal/balancer/weigh.go
+++ b/internal/balancer/weigh.go
@@ -6,6 +6,7 @@
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/directory"
+	"github.com/indigobarrow/indigobarrow/internal/mechanism"
 	"github.com/indigobarrow/indigobarrow/internal/policy"
 	"github.com/indigobarrow/indigobarrow/internal/rule"
 	"github.com/indigobarrow/indigobarrow/internal/shares"
@@ -37,7 +38,8 @@
 // traffic.
 func (c *control) weigher(now time.Time) func(directory.BackendEntry) uint32 {
 	zone := c.balancer.settings.Load().GetZone()
-	spread := now.Sub(c.firstAt) < spreadTime
+	off := c.balancer.off
+	spread := now.Sub(c.firstAt) < spreadTime && !off.Has(mechanism.SpreadAfterStart) || off.Has(mechanism.LocalZone)
 	zones := c.zonesOfPools(zone)
 	c.demand.startTable(zones)
 	return func(backend directory.BackendEntry) uint32 {
@@ -51,7 +53,9 @@
 		if !spread && !local {
 			weight = c.remoteWeight(backend.GetPool(), zones[backend.GetPool()])
 		}
-		weight *= c.demand.healthWeight(backend.GetNumber())
+		if !off.Has(mechanism.Health) {
+			weight *= c.demand.healthWeight(backend.GetNumber())
+		}
 		return uint32(math.Ceil(weight * rule.MaximumWeight))
 	}
 }
@@ -91,11 +95,16 @@
 	if pool == nil || pool.localBackends < localEnough {
 		return 1
 	}
-	weight := shares.RemoteWeight(c.demand.remote[name], pool.localBackends, pool.remoteBackends)
+	remote := c.demand.remote[name]
+	if c.balancer.off.Has(mechanism.ZoneSharing) {
+		remote = shares.Remote(0, pool.localSlots, pool.remoteSlots)
+	}
+	weight := shares.RemoteWeight(remote, pool.localBackends, pool.remoteBackends)
 	return min(weight, 1)
 }
 
 func (c *control) evaluate(program *policy.Program, backend directory.BackendEntry, local bool) (uint32, bool) {
+	health := c.demand.unwell[backend.GetNumber()]
 	facts := policy.Facts{
 		Name:          backend.GetId(),
 		Zone:          backend.GetZone(),
@@ -106,6 +115,9 @@
 		Local:         local,
 		Capacity:      float64(backend.GetCapacity()),
 		WarmupSeconds: (time.Duration(backend.GetWarmupMilliseconds()) * time.Millisecond).Seconds(),
+		Failing:       health.Failing,
+		Slow:          health.Slow,
+		Use:           c.demand.use(backend.GetPool()),
 	}
 	if backend.GetDraining() {
 		facts.MachineState = stateLeaving
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -40,6 +40,12 @@
 	Capacity float64
 	// WarmupSeconds is for how much longer the back end says it is slow.
 	WarmupSeconds float64
+	// Failing and Slow are the parts of its answers, 0 to 1, that are observed to
+	// be shorter, as errors are, or later than those of the others of its pool.
+	Failing, Slow float64
+	// Use is the part of the slots of the pool that are in use in the balancer's
+	// zone; above 1 requests wait.
+	Use float64
 }
 
 // Outcome is what a program says of one back end.
@@ -86,6 +92,9 @@
 		cel.Variable("local", cel.BoolType),
 		cel.Variable("capacity", cel.DoubleType),
 		cel.Variable("warmup_seconds", cel.DoubleType),
+		cel.Variable("failing", cel.DoubleType),
+		cel.Variable("slow", cel.DoubleType),
+		cel.Variable("use", cel.DoubleType),
 	)
 }
 
@@ -148,6 +157,9 @@
 		"local":          facts.Local,
 		"capacity":       facts.Capacity,
 		"warmup_seconds": facts.WarmupSeconds,
+		"failing":        facts.Failing,
+		"slow":           facts.Slow,
+		"use":            facts.Use,
 	}
 	trust, err := evaluateNumber(program.loadTrust, values, "load_trust")
 	if err != nil {
--- a/internal/settings/balancer.go
+++ b/internal/settings/balancer.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/mechanism"
 )
 
 // BalancerDefaults are the settings of a balancer that sets nothing.
@@ -61,6 +63,10 @@
 	checker.between("lapse_milliseconds", loaded.GetLapseMilliseconds(), 0, 60_000)
 	checker.number("processor_cores", loaded.GetProcessorCores(), 0, 4096)
 	checker.number("link_megabits", loaded.GetLinkMegabits(), 0, 10_000_000)
+	if _, err := mechanism.Parse(loaded.GetWithout()); err != nil {
+		checker.fault("without", strings.Join(loaded.GetWithout(), ","), "names what is no mechanism: "+err.Error(),
+			"leave out what is not in that list")
+	}
 	derivePace(loaded)
 	checker.between("poll_milliseconds", loaded.GetPollMilliseconds(), 100, 60_000)
 	checker.between("stale_milliseconds", loaded.GetStaleMilliseconds(), loaded.GetPollMilliseconds(), 120_000)
--- a/internal/tokenroute/flows.go
+++ b/internal/tokenroute/flows.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/mechanism"
 	"github.com/indigobarrow/indigobarrow/internal/observe"
 )
 
@@ -58,6 +59,7 @@
 
 // Flows is the memory of one traffic goroutine.
 type Flows struct {
+	off    mechanism.Set
 	memory *memory
 	queue  []waiting
 	silent map[uint64]*silence
@@ -77,15 +79,16 @@
 	Kept atomic.Uint64
 }
 
-// NewFlows makes an empty memory.
-func NewFlows() *Flows {
+// NewFlows makes an empty memory, for decisions without the given mechanisms.
+func NewFlows(off mechanism.Set) *Flows {
 	memory := newMemory()
 	return &Flows{
+		off:      off,
 		memory:   memory,
 		silent:   make(map[uint64]*silence),
 		loads:    make(map[uint64]*load),
 		pools:    make(map[string]*poolUse),
-		liveness: newLiveness(memory),
+		liveness: newLiveness(memory, off),
 	}
 }
 
@@ -122,7 +125,7 @@
 			return true
 		}
 		silent := f.silent[backend.Number]
-		return silent != nil && now.Before(silent.avoidUntil)
+		return silent != nil && now.Before(silent.avoidUntil) && !f.off.Has(mechanism.AvoidSilent)
 	}
 	chosen := route.Choose(key.Hash(), avoid, f.inUse)
 	if chosen == nil {
@@ -135,7 +138,7 @@
 // inUse is how much of a back end the flows use that pass here.
 func (f *Flows) inUse(backend *Backend) int {
 	known := f.loads[backend.Number]
-	if known == nil {
+	if known == nil || f.off.Has(mechanism.LeastUsed) {
 		return 0
 	}
 	return known.flows + known.waiting
--- a/internal/tokenroute/liveness.go
+++ b/internal/tokenroute/liveness.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/mechanism"
 )
 
 // The pace of the judgement on back ends.
@@ -114,6 +115,7 @@
 //
 // It belongs to one traffic goroutine.
 type Liveness struct {
+	off       mechanism.Set
 	memory    *memory
 	judged    map[uint64]*judgement
 	abandoned []Abandoned
@@ -123,8 +125,8 @@
 
 // newLiveness makes a judge of the back ends of the flows in a memory, against
 // whom nothing speaks yet.
-func newLiveness(memory *memory) *Liveness {
-	return &Liveness{memory: memory, judged: make(map[uint64]*judgement)}
+func newLiveness(memory *memory, off mechanism.Set) *Liveness {
+	return &Liveness{off: off, memory: memory, judged: make(map[uint64]*judgement)}
 }
 
 // Observe takes a later packet of a flow that goes to a back end, and tells
@@ -236,12 +238,14 @@
 	}
 	judged.witnesses[client] = known.sentAt
 	proven := backend.Gone || known.repeats >= repeatsForProof || len(judged.witnesses) >= witnessesNeeded
-	if !proven || !l.othersPrompt(judged, known.sentAt) {
+	if !proven || !l.othersPrompt(judged, known.sentAt) || l.off.Has(mechanism.Verdicts) {
 		return
 	}
 	if !now.Before(judged.deadUntil) {
 		l.Verdicts.Add(1)
-		l.abandon(backend, now)
+		if !l.off.Has(mechanism.IdleResets) {
+			l.abandon(backend, now)
+		}
 	}
 	judged.deadUntil = now.Add(verdictTime)
 }
