Stand-in of back ends: try an address again that a process being started still holds

Cause: other tests start processes at the same time, and between its fork and the end of its exec a child holds copies of all sockets. Ruled out: the reading goroutine (Close waits for it; 300 stops and starts on one processor without a failure); taking syscall.ForkLock while closing (still red: the lock is let go of before the kernel closes the child's copies). TestAddressIsFreeAfterAStop starts processes beside it: red on the first tries before, 5 of 5 green after.

--- a/internal/standin/echonet/backend.go
+++ b/internal/standin/echonet/backend.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -37,7 +39,7 @@
 
 // StartBackend opens a back end at an address.
 func StartBackend(id, pool string, address netip.AddrPort, clientPort uint16, key uint64) (*Backend, error) {
-	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	socket, err := listen(address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "back end %s: listen on %s", id, address)
 	}
@@ -49,6 +51,25 @@
 	return made, nil
 }
 
+const (
+	// addressWait is for how long an address in use is tried again: a process that
+	// is just being started holds a copy of each socket of this one, those too
+	// that were closed meanwhile, until its program is loaded.
+	addressWait = time.Second
+	// addressPause is the pause between two tries.
+	addressPause = 2 * time.Millisecond
+)
+
+// listen opens a socket at an address, also when one there was closed just now.
+func listen(address netip.AddrPort) (*net.UDPConn, error) {
+	for began := time.Now(); ; time.Sleep(addressPause) {
+		socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Since(began) > addressWait {
+			return socket, err
+		}
+	}
+}
+
 // Stop ends the back end; it forgets its flows.
 func (backend *Backend) Stop() { _ = backend.socket.Close() }
 
