--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -40,29 +40,35 @@
 	// Snapshot reads entries, at most the given number of pages. The batch is
 	// complete when that was all.
 	Snapshot(ctx context.Context, pageLimit int) (*apiv1.DirectoryBatch, error)
+	// OldSnapshot reads all entries as they were some seconds ago, which costs
+	// the store less. It confirms nothing.
+	OldSnapshot(ctx context.Context) (*apiv1.DirectoryBatch, error)
 	// Changes waits for the changes after a revision. It returns
 	// ErrHistoryLost when the store no longer has them.
 	Changes(ctx context.Context, after uint64, wait time.Duration) (*apiv1.DirectoryBatch, error)
 	// Routes reads the table of routes alone; the batch claims no revision.
 	Routes(ctx context.Context) (*apiv1.DirectoryBatch, error)
-	// Members reads the entries of the balancers alone; the batch claims no
-	// revision.
-	Members(ctx context.Context) (*apiv1.DirectoryBatch, error)
-	// Lease asks for a lease and returns its number.
-	Lease(ctx context.Context, length time.Duration) (uint64, error)
-	// Renew renews a lease. It returns ErrLeaseOver when there is none.
-	Renew(ctx context.Context, lease uint64) error
-	// Announce writes the entry of a balancer under a lease.
-	Announce(ctx context.Context, balancer *apiv1.Balancer, lease uint64) error
+	// Members reads the entries of a zone's balancers alone, as they were some
+	// seconds ago; the batch claims no revision.
+	Members(ctx context.Context, zone string) (*apiv1.DirectoryBatch, error)
+	// WriteBalancers writes the entries of balancers, all or none of them, at
+	// most replication.WriteLimit.
+	WriteBalancers(ctx context.Context, entries []*apiv1.Balancer) error
+	// RemoveBalancers removes entries of balancers, all or none of them, at most
+	// replication.RemoveLimit. It fails when one of them was written since.
+	RemoveBalancers(ctx context.Context, entries []BalancerRevision) error
+}
+
+// BalancerRevision is a balancer's entry and the store's revision of it.
+type BalancerRevision struct {
+	Balancer *apiv1.Balancer
+	Revision uint64
 }
 
 // ErrHistoryLost is what Store.Changes returns when the store has forgotten the
 // changes that were asked for.
 var ErrHistoryLost = errors.New("the store no longer has these changes")
 
-// ErrLeaseOver is what Store.Renew returns when the lease has ended.
-var ErrLeaseOver = errors.New("the lease is over")
-
 // Outside is what a balancer needs of the world that it runs in.
 type Outside struct {
 	Codec Codec
@@ -85,14 +91,12 @@
 	// confirmedAt is when the store confirmed what is known, in nanoseconds
 	// since the start; 0 is never.
 	confirmedAt atomic.Int64
-	// announced is the entry of this balancer as the directory has it.
-	announced  atomic.Pointer[apiv1.Balancer]
-	storeCalls callCounts
-	peerCalls  callCounts
-	control    *control
-	traffic    *traffic
-	peers      net.Listener
-	probes     net.Listener
+	storeCalls  storeCalls
+	peerCalls   callCounts
+	control     *control
+	traffic     *traffic
+	peers       net.Listener
+	probes      net.Listener
 }
 
 // New opens the sockets of a balancer.
@@ -149,7 +153,7 @@
 	group.Go(func() error { return b.control.run(ctx) })
 	group.Go(func() error { return replication.Serve(ctx, b.peers, b.control) })
 	group.Go(func() error { return b.serveReadiness(ctx) })
-	group.Go(func() error { return b.announce(ctx) })
+	group.Go(func() error { return b.logStoreCalls(ctx) })
 	group.Go(func() error { return b.serveMetrics(ctx) })
 	return group.Wait()
 }
--- a/internal/balancer/calls.go
+++ b/internal/balancer/calls.go
@@ -21,15 +21,12 @@
 	snapshotTimeout = 10 * time.Second
 	// followWait is how long a call to a peer waits for news.
 	followWait = 1500 * time.Millisecond
-	// youngerBy is how much younger a confirmation must be to count as news.
-	youngerBy = 100 * time.Millisecond
 )
 
-// poll makes one call to the store, or two where the second one checks what
-// the first may have missed.
-func (c *control) poll(ctx context.Context, kind replication.Poll, after uint64, now time.Time) {
+// poll reads the store once.
+func (c *control) poll(ctx context.Context, kind replication.Poll, purpose storePurpose, after uint64, now time.Time) {
 	batch, err := c.read(ctx, kind, after)
-	c.balancer.storeCalls.count(err)
+	c.balancer.storeCalls[purpose].count(err)
 	news := &apiv1.DirectoryNews{
 		Batch:           batch,
 		AsOfNanoseconds: int64(now.Sub(c.balancer.started)),
@@ -46,15 +43,23 @@
 		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 		defer cancel()
 		return store.Snapshot(ctx, math.MaxInt)
+	case replication.PollOld:
+		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+		defer cancel()
+		return store.OldSnapshot(ctx)
 	case replication.PollChanges:
-		wait := time.Duration(c.balancer.settings.Load().GetPollMilliseconds()) * time.Millisecond
+		wait := paceOf(c.balancer.settings.Load()).Wait
 		ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 		defer cancel()
 		return store.Changes(ctx, after, wait)
+	case replication.PollCatchUp:
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		return store.Changes(ctx, after, 0)
 	case replication.PollMembers:
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
-		return store.Members(ctx)
+		return store.Members(ctx, c.balancer.settings.Load().GetZone())
 	case replication.PollNone, replication.PollPage:
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -64,11 +69,11 @@
 
 // checkRoutes reads the table of routes alone. A large store is followed by its
 // changes, and the one change that must not be missed is checked besides.
-func (c *control) checkRoutes(ctx context.Context, now time.Time) {
+func (c *control) checkRoutes(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	batch, err := c.balancer.outside.Store.Routes(bounded)
-	c.balancer.storeCalls.count(err)
+	c.balancer.storeCalls[storeAudit].count(err)
 	c.publish(ctx, &apiv1.DirectoryNews{Batch: batch, Check: true}, err)
 }
 
@@ -97,15 +102,19 @@
 		After:           c.known.Revision(),
 		AgeMilliseconds: uint32(age.Milliseconds()),
 	}
-	if peer.Everything {
-		request.After = 0
-	}
+	request.Everything = peer.Everything
 	if peer.Waits() {
 		request.WaitMilliseconds = uint32(followWait.Milliseconds())
 	}
 	request.WithoutChanges = peer.Purpose == replication.PurposeAsk
 	if peer.Purpose == replication.PurposeFollow {
-		request.Findings = encodeFindings(c.findings.here(now))
+		if c.core.SharesOrder(peer.Address) {
+			// Who is of another zone has hardly seen the same back ends, but counts
+			// as one more that might by chance.
+			request.Findings = encodeFindings(c.findings.here(now))
+		}
+		request.Shown = c.core.Shown(now)
+		request.Silent = c.core.Silent(now)
 	}
 	return request
 }
@@ -162,8 +171,12 @@
 	confirmedAt time.Time
 	until       time.Time
 	findings    []*apiv1.BackendFinding
-	// withoutChanges is set when it asks for the revision only.
-	withoutChanges bool
+	// shown and silent are what it passes on about balancers.
+	shown  []*apiv1.Balancer
+	silent []string
+	// everything is set when it asks for tombstones too, and withoutChanges when
+	// for the revision only.
+	everything, withoutChanges bool
 	// takesPacked tells whether the follower understands packed tables.
 	takesPacked bool
 	reply       chan *apiv1.FollowReply
@@ -206,6 +219,9 @@
 		confirmedAt:    now.Add(-age),
 		until:          now.Add(time.Duration(request.GetWaitMilliseconds()) * time.Millisecond),
 		findings:       request.GetFindings(),
+		shown:          request.GetShown(),
+		silent:         request.GetSilent(),
+		everything:     request.GetEverything(),
 		withoutChanges: request.GetWithoutChanges(),
 		takesPacked:    request.GetTakesPacked(),
 		reply:          make(chan *apiv1.FollowReply, 1),
@@ -227,6 +243,8 @@
 // take lets a follower wait, or answers it at once when there is no room.
 func (c *control) take(asking *follower) {
 	c.core.Called(asking.caller, c.known.Revision(), asking.takenAt)
+	c.core.TakeShown(asking.shown, asking.takenAt)
+	c.core.TakeSilent(asking.silent, asking.takenAt)
 	if asking.follows() {
 		c.findings.takeFollower(asking.caller.Address, asking.findings, asking.takenAt)
 	}
@@ -258,12 +276,12 @@
 	if !known && now.Before(asking.until) {
 		return false
 	}
-	younger := known && now.Add(-age).Sub(asking.confirmedAt) >= youngerBy
+	younger := known && now.Add(-age).Sub(asking.confirmedAt) >= paceOf(c.balancer.settings.Load()).Younger
 	if asking.after >= c.known.Revision() && !younger && now.Before(asking.until) {
 		return false
 	}
 	reply := &apiv1.FollowReply{
-		Batch:              c.newsFor(asking),
+		Batch:              c.newsFor(asking, known),
 		AgeMilliseconds:    uint32(age.Milliseconds()) + 1,
 		WaitedMilliseconds: uint32(now.Sub(asking.takenAt).Milliseconds()),
 		Findings:           found(),
@@ -277,12 +295,15 @@
 }
 
 // newsFor returns what is new to a follower, in the form that it takes.
-func (c *control) newsFor(asking *follower) *apiv1.DirectoryBatch {
-	if asking.withoutChanges {
+func (c *control) newsFor(asking *follower, known bool) *apiv1.DirectoryBatch {
+	if asking.withoutChanges || !known {
 		// Without a revision, the batch claims and confirms nothing.
 		return &apiv1.DirectoryBatch{}
 	}
 	batch := c.known.Since(asking.after)
+	if asking.everything {
+		batch = c.known.Everything(asking.after)
+	}
 	if !asking.takesPacked {
 		return batch
 	}
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -55,6 +55,11 @@
 	followers chan *follower
 	waiting   []*follower
 	polling   bool
+	// write is what is being written to the store about balancers.
+	write replication.Write
+	// balancersSeen is the directory's count of changes when the balancers were
+	// last taken.
+	balancersSeen uint64
 	// former are the pools that addresses had, and when they last had them.
 	former   map[flow.Address]map[string]time.Time
 	firstAt  time.Time
@@ -74,11 +79,9 @@
 		balancer: balancer,
 		known:    directory.New(retention),
 		core: replication.NewCore(replication.Config{
-			Self:         balancer.entry(),
-			Seeds:        settings.GetSeeds(),
-			PollInterval: time.Duration(settings.GetPollMilliseconds()) * time.Millisecond,
-			StaleAfter:   time.Duration(settings.GetStaleMilliseconds()) * time.Millisecond,
-			TreeWidth:    replication.DefaultTreeWidth,
+			Self:      balancer.entry(),
+			Pace:      paceOf(settings),
+			TreeWidth: replication.DefaultTreeWidth,
 
 			SharedOrderLimit: replication.DefaultSharedOrderLimit,
 
@@ -94,7 +97,7 @@
 		followers: make(chan *follower, followersLimit),
 		former:    make(map[flow.Address]map[string]time.Time),
 	}
-	made.core.SetBalancers(nil)
+	made.core.SetSeeds(settings.GetSeeds())
 	return made
 }
 
@@ -124,9 +127,17 @@
 	}
 }
 
+// paceOf is the pace that the settings give.
+func paceOf(settings *apiv1.BalancerSettings) replication.Pace {
+	poll := time.Duration(settings.GetPollMilliseconds()) * time.Millisecond
+	stale := time.Duration(settings.GetStaleMilliseconds()) * time.Millisecond
+	return replication.NewPace(poll, stale)
+}
+
 // tick starts the calls that are due, answers followers and renews the table.
 func (c *control) tick(ctx context.Context, now time.Time) {
 	c.startPoll(ctx, now)
+	c.startWrite(ctx, now)
 	c.startCalls(ctx, now)
 	c.answerWaiting(now)
 	if c.known.Expire(now) || c.takeObserved(now) {
@@ -171,10 +182,11 @@
 	c.polling = true
 	c.core.PollStarted(kind, now)
 	c.balancer.logger.Debug("Control: store is read.", "kind", kind, "reader", c.core.Reader())
-	go c.poll(ctx, kind, c.known.Revision(), now)
+	_, knows := c.core.Age(now)
+	go c.poll(ctx, kind, purposeOf(kind, knows, c.core.Reads()), c.known.Revision(), now)
 	if kind == replication.PollChanges && !now.Before(c.nextCheck) {
-		c.nextCheck = now.Add(time.Duration(c.balancer.settings.Load().GetPollMilliseconds()) * time.Millisecond)
-		go c.checkRoutes(ctx, now)
+		c.nextCheck = now.Add(paceOf(c.balancer.settings.Load()).Poll)
+		go c.checkRoutes(ctx)
 	}
 }
 
@@ -194,6 +206,8 @@
 	asOf := c.balancer.started.Add(time.Duration(news.GetAsOfNanoseconds()))
 	switch {
 	case news.GetCheck():
+	case news.GetWrite():
+		c.writeEnded(news.GetError() != "", now)
 	case news.GetPeer() == "":
 		c.polling = false
 		c.pollEnded(news, now)
@@ -206,19 +220,28 @@
 	}
 	if c.known.Apply(news.GetBatch(), now) {
 		c.rebuild = true
-		balancers := c.known.Balancers()
-		c.core.SetBalancers(balancers)
-		c.balancer.noteAnnounced(balancers)
-		c.observed.balancers = c.balancersInZone(balancers)
+		c.takeBalancers(now)
 	}
 	// A batch without a revision is a part of what the store holds, or comes
-	// from a peer that knows nothing itself.
-	if news.GetBatch().GetRevision() > 0 {
+	// from a peer that knows nothing itself. An old copy confirms nothing.
+	old := news.GetPeer() == "" && replication.Poll(news.GetPoll()) == replication.PollOld
+	if news.GetBatch().GetRevision() > 0 && !old {
 		c.core.Confirm(asOf)
 		c.balancer.confirmedAt.Store(int64(c.core.ConfirmedAt().Sub(c.balancer.started)))
 	}
 }
 
+// takeBalancers takes the balancers that the directory lists, if they have changed.
+func (c *control) takeBalancers(now time.Time) {
+	if c.known.BalancerChanges() == c.balancersSeen {
+		return
+	}
+	c.balancersSeen = c.known.BalancerChanges()
+	balancers := c.known.Balancers()
+	c.core.SetBalancers(balancers, now)
+	c.observed.balancers = c.balancersInZone(balancers)
+}
+
 // balancersInZone counts the balancers of this zone, this one included.
 func (c *control) balancersInZone(known []*apiv1.Balancer) int {
 	settings := c.balancer.settings.Load()
@@ -238,7 +261,7 @@
 	case news.GetError() != "":
 		c.core.PollFailed(now)
 	default:
-		c.core.PollSucceeded(replication.Poll(news.GetPoll()), news.GetBatch().GetComplete(), now)
+		c.core.PollSucceeded(replication.Poll(news.GetPoll()), news.GetBatch().GetOnePage(), now)
 	}
 }
 
@@ -254,7 +277,7 @@
 	}
 	c.core.PeerAnswered(peer, asOf, now)
 	c.core.Learned(news.GetCallers())
-	if peer.Purpose == replication.PurposeFollow {
+	if peer.Purpose == replication.PurposeFollow && c.core.SharesOrder(peer.Address) {
 		c.findings.takeParent(news.GetFindings(), now)
 	}
 }
@@ -263,8 +286,8 @@
 func (c *control) renewTable(now time.Time) {
 	c.rebuild = false
 	c.nextTurn = time.Time{}
-	if c.known.Revision() == 0 {
-		// A part of the store is no ground to refuse flows on.
+	if _, knows := c.core.Age(now); !knows {
+		// A part of the store, or an old copy, is no ground to refuse flows on.
 		return
 	}
 	c.rememberPools(now)
--- a/internal/balancer/control_test.go
+++ b/internal/balancer/control_test.go
@@ -13,14 +13,22 @@
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/directory"
 	"github.com/indigobarrow/indigobarrow/internal/events"
+	"github.com/indigobarrow/indigobarrow/internal/replication"
 	"github.com/indigobarrow/indigobarrow/internal/rule"
 	"github.com/indigobarrow/indigobarrow/internal/settings"
 )
 
-// newTestControl makes the control state of a balancer without sockets.
-func newTestControl() *control {
+// testSettings are the settings of a balancer, with a pace.
+func testSettings() *apiv1.BalancerSettings {
 	loaded := settings.BalancerDefaults()
 	loaded.Name, loaded.Zone = "edge-1", "maadi"
+	loaded.PollMilliseconds, loaded.StaleMilliseconds = 1000, 1400
+	return loaded
+}
+
+// newTestControl makes the control state of a balancer without sockets.
+func newTestControl() *control {
+	loaded := testSettings()
 	made := &Balancer{
 		logger:  slog.New(slog.NewTextHandler(io.Discard, nil)),
 		started: time.Now().Add(-time.Minute),
@@ -65,6 +73,44 @@
 	require.Nil(t, control.balancer.table.Load(), "nor is it a ground to refuse flows on")
 }
 
+// An old copy of the store names everybody, but routes and back ends may have
+// changed since. They serve once a peer or the store has brought the changes.
+func TestOldCopyOfTheStoreConfirmsNothing(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	control.learn(&apiv1.DirectoryNews{Batch: routesBatch(5), Poll: uint32(replication.PollOld),
+		AsOfNanoseconds: control.nanoseconds(now)}, now)
+	require.Equal(t, uint64(5), control.known.Revision())
+	control.renewTable(now)
+	require.Nil(t, control.balancer.table.Load())
+	reply := control.ask(0, now, now.Add(-time.Minute))
+	require.Empty(t, reply.GetBatch().GetChanges(), "nor is it passed on")
+	require.Zero(t, reply.GetBatch().GetRevision())
+	control.learn(&apiv1.DirectoryNews{Peer: "10.0.0.2:8166", Batch: &apiv1.DirectoryBatch{Revision: 6},
+		AsOfNanoseconds: control.nanoseconds(now)}, now)
+	control.renewTable(now)
+	require.NotNil(t, control.balancer.table.Load())
+}
+
+// The reader removes the entry that it knows, and no later one.
+func TestEntriesAreRemovedAtTheRevisionsThatAreKnown(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	entry := &apiv1.Balancer{Name: "edge-2", Zone: "maadi", PeerAddress: "10.0.0.2:8166"}
+	batch := routesBatch(5)
+	batch.Changes = append(batch.Changes, &apiv1.DirectoryChange{Revision: 4,
+		Entry: &apiv1.DirectoryChange_Balancer{Balancer: entry}})
+	control.learn(&apiv1.DirectoryNews{Batch: batch, AsOfNanoseconds: control.nanoseconds(now)}, now)
+	require.Equal(t, []BalancerRevision{{Balancer: entry, Revision: 4}}, control.revisionsOf([]string{"edge-2", "edge-3"}))
+}
+
+func TestStoreCallsAreCountedByPurpose(t *testing.T) {
+	require.Equal(t, storeStart, purposeOf(replication.PollSnapshot, false, true))
+	require.Equal(t, storeAudit, purposeOf(replication.PollSnapshot, true, true))
+	require.Equal(t, storeFollow, purposeOf(replication.PollChanges, true, true))
+	require.Equal(t, storeStandIn, purposeOf(replication.PollCatchUp, true, false))
+}
+
 func TestFailedCallsLeaveWhatIsKnown(t *testing.T) {
 	control := newTestControl()
 	now := time.Now()
@@ -173,14 +219,14 @@
 	control := newTestControl()
 	balancer := control.balancer
 	level := new(slog.LevelVar)
-	loaded := settings.BalancerDefaults()
-	loaded.Name, loaded.Zone, loaded.LogLevel = "edge-1", "maadi", "debug"
+	loaded := testSettings()
+	loaded.LogLevel = "debug"
 	load := func() (*apiv1.BalancerSettings, error) { return loaded, nil }
 	balancer.reload(Reloader{Load: load, Level: level})
 	require.Equal(t, "debug", balancer.settings.Load().GetLogLevel())
 	require.Equal(t, slog.LevelDebug, level.Level())
-	moved := settings.BalancerDefaults()
-	moved.Name, moved.Zone, moved.DataAddress = "edge-1", "maadi", "127.0.0.9:1"
+	moved := testSettings()
+	moved.DataAddress = "127.0.0.9:1"
 	balancer.reload(Reloader{Load: func() (*apiv1.BalancerSettings, error) { return moved, nil }, Level: level})
 	require.Equal(t, "debug", balancer.settings.Load().GetLogLevel(), "a changed address needs a restart")
 	balancer.reload(Reloader{Load: func() (*apiv1.BalancerSettings, error) { return nil, io.EOF }, Level: level})
--- /dev/null
+++ b/internal/balancer/members.go
@@ -0,0 +1,70 @@
+package balancer
+
+import (
+	"context"
+	"time"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/directory"
+	"github.com/indigobarrow/indigobarrow/internal/replication"
+)
+
+// startWrite writes what is due about balancers to the store.
+func (c *control) startWrite(ctx context.Context, now time.Time) {
+	write, found := c.core.NextWrite(now)
+	if !found {
+		return
+	}
+	c.write = write
+	c.balancer.logger.Debug("Control: entries of balancers are written.", "put", len(write.Put), "remove", write.Remove)
+	go c.writeMembers(ctx, write.Put, c.revisionsOf(write.Remove))
+}
+
+// writeMembers makes the call to the store for one write.
+func (c *control) writeMembers(ctx context.Context, put []*apiv1.Balancer, remove []BalancerRevision) {
+	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	var err error
+	if len(put) > 0 {
+		err = c.balancer.outside.Store.WriteBalancers(bounded, put)
+	} else {
+		err = c.balancer.outside.Store.RemoveBalancers(bounded, remove)
+	}
+	c.balancer.storeCalls[storeMembers].count(err)
+	c.publish(ctx, &apiv1.DirectoryNews{Write: true}, err)
+}
+
+// revisionsOf are the entries of balancers as the directory has them. One that it
+// no longer has needs no removal.
+func (c *control) revisionsOf(names []string) []BalancerRevision {
+	entries := make(map[string]*apiv1.Balancer)
+	for _, b := range c.known.Balancers() {
+		entries[b.GetName()] = b
+	}
+	var found []BalancerRevision
+	for _, name := range names {
+		revision := c.known.RevisionOf(directory.Key{Kind: directory.KindBalancer, Name: name})
+		if revision != 0 {
+			found = append(found, BalancerRevision{Balancer: entries[name], Revision: revision})
+		}
+	}
+	return found
+}
+
+// writeEnded takes the end of a write.
+func (c *control) writeEnded(failed bool, now time.Time) {
+	c.core.WriteEnded(c.write, failed, now)
+	c.write = replication.Write{}
+}
+
+// entry is how this balancer shows itself to the others.
+func (b *Balancer) entry() *apiv1.Balancer {
+	settings := b.settings.Load()
+	return &apiv1.Balancer{
+		Name:           settings.GetName(),
+		Zone:           settings.GetZone(),
+		PeerAddress:    settings.GetPeerAddress(),
+		ProcessorCores: settings.GetProcessorCores(),
+		LinkMegabits:   settings.GetLinkMegabits(),
+	}
+}
--- a/internal/balancer/metrics.go
+++ b/internal/balancer/metrics.go
@@ -40,6 +40,8 @@
 		"First packets sent again to another back end, back ends that did not answer in time, and back ends judged dead.", []string{"event"}, nil)
 	callsDescription = prometheus.NewDesc("indigobarrow_balancer_calls_total",
 		"Calls to the store and to peers by outcome.", []string{"to", "outcome"}, nil)
+	purposesDescription = prometheus.NewDesc("indigobarrow_balancer_store_calls_total",
+		"Calls to the store by purpose.", []string{"purpose"}, nil)
 	ageDescription = prometheus.NewDesc("indigobarrow_balancer_knowledge_age_seconds",
 		"Time since the store confirmed what is known.", nil, nil)
 	versionDescription = prometheus.NewDesc("indigobarrow_balancer_configuration_version",
@@ -70,8 +72,15 @@
 	counter(flowsDescription, traffic.flows.Retried.Load(), "retried")
 	counter(flowsDescription, traffic.flows.Missed.Load(), "not_answered")
 	counter(flowsDescription, traffic.flows.Verdicts(), "backend_dead")
-	counter(callsDescription, balancer.storeCalls.answered.Load(), "store", "answered")
-	counter(callsDescription, balancer.storeCalls.failed.Load(), "store", "failed")
+	answered, failed := uint64(0), uint64(0)
+	for purpose := range storePurposeCount {
+		counts := &balancer.storeCalls[purpose]
+		answered += counts.answered.Load()
+		failed += counts.failed.Load()
+		counter(purposesDescription, counts.answered.Load()+counts.failed.Load(), purpose.String())
+	}
+	counter(callsDescription, answered, "store", "answered")
+	counter(callsDescription, failed, "store", "failed")
 	counter(callsDescription, balancer.peerCalls.answered.Load(), "peer", "answered")
 	counter(callsDescription, balancer.peerCalls.failed.Load(), "peer", "failed")
 	if confirmed := balancer.confirmedAt.Load(); confirmed > 0 {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -69,6 +69,8 @@
 	steps   []step
 	entries map[Key]*entry
 	log     changeLog
+	// balancerChanges counts the changes of the entries of balancers.
+	balancerChanges uint64
 }
 
 // step is one rise of the revision. What was both made and removed in between
@@ -169,6 +171,9 @@
 
 // note puts the content of an entry into the log.
 func (d *Directory) note(key Key, known *entry) {
+	if key.Kind == KindBalancer {
+		d.balancerChanges++
+	}
 	known.logged = known.change.GetRevision()
 	d.log.add(known.logged, key)
 }
@@ -260,6 +265,25 @@
 	return batch
 }
 
+// Everything returns what changed after a revision, and all tombstones besides.
+// Who has read the store lacks only those.
+func (d *Directory) Everything(after uint64) *apiv1.DirectoryBatch {
+	batch := d.Since(after)
+	if batch.GetComplete() {
+		return batch
+	}
+	named := make(map[Key]bool, len(batch.GetChanges()))
+	for _, change := range batch.GetChanges() {
+		named[KeyOf(change)] = true
+	}
+	for key, known := range d.entries {
+		if known.change.GetGone() && !named[key] {
+			batch.Changes = append(batch.Changes, known.change)
+		}
+	}
+	return batch
+}
+
 // Routes returns the table of routes, or nil while none is known.
 func (d *Directory) Routes() *apiv1.RouteTable {
 	known := d.entries[Key{Kind: KindRoutes}]
@@ -297,6 +321,18 @@
 	return found
 }
 
+// BalancerChanges rises whenever the balancers that have an entry may have changed.
+func (d *Directory) BalancerChanges() uint64 { return d.balancerChanges }
+
+// RevisionOf returns the revision of an entry that exists, or 0.
+func (d *Directory) RevisionOf(key Key) uint64 {
+	known := d.entries[key]
+	if known == nil || known.change.GetGone() {
+		return 0
+	}
+	return known.change.GetRevision()
+}
+
 // Balancers returns the balancers that have an entry, by name.
 func (d *Directory) Balancers() []*apiv1.Balancer {
 	var found []*apiv1.Balancer
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -220,3 +220,36 @@
 	}
 	require.Equal(t, want, held)
 }
+
+// Who has read the store asks a peer for what the store does not have, and not
+// for everything again.
+func TestEverythingAfterARevisionIsChangesAndTombstones(t *testing.T) {
+	known := New(time.Minute)
+	known.Apply(batch(3, true, backendChange(1, "i-1", false, false), backendChange(2, "i-2", false, false),
+		backendChange(3, "i-3", false, false)), start)
+	known.Apply(batch(4, false, backendChange(4, "i-1", false, true)), start)
+	known.Apply(batch(5, false, backendChange(5, "i-4", false, false)), start)
+	require.Len(t, known.Since(4).GetChanges(), 1)
+	require.Len(t, known.Everything(4).GetChanges(), 2, "the tombstone too")
+	require.Len(t, known.Everything(3).GetChanges(), 2, "the tombstone once")
+	require.Len(t, known.Everything(0).GetChanges(), 4)
+}
+
+func TestChangesOfBalancersAreCounted(t *testing.T) {
+	known := New(time.Minute)
+	key := Key{Kind: KindBalancer, Name: "edge-1"}
+	require.Zero(t, known.RevisionOf(key))
+	entry := func(revision uint64, gone bool) *apiv1.DirectoryBatch {
+		return batch(revision, false, &apiv1.DirectoryChange{Revision: revision, Gone: gone,
+			Entry: &apiv1.DirectoryChange_Balancer{Balancer: &apiv1.Balancer{Name: "edge-1"}}})
+	}
+	known.Apply(entry(1, false), start)
+	first := known.BalancerChanges()
+	require.NotZero(t, first)
+	require.Equal(t, uint64(1), known.RevisionOf(key))
+	known.Apply(batch(2, false, backendChange(2, "i-1", false, false)), start)
+	require.Equal(t, first, known.BalancerChanges(), "back ends are not balancers")
+	known.Apply(entry(3, true), start)
+	require.Greater(t, known.BalancerChanges(), first)
+	require.Zero(t, known.RevisionOf(key))
+}
--- a/internal/replication/call.go
+++ b/internal/replication/call.go
@@ -1,6 +1,11 @@
 package replication
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+)
 
 // Purpose is why another balancer is called. All purposes use the same call;
 // they differ in whom they call, how many are under way, and whether they wait.
@@ -91,16 +96,30 @@
 	if !c.knows() || c.Reader() && c.caughtUp && !c.Stale(now) {
 		return "", false
 	}
-	return c.firstFree(c.candidates(), PurposeFollow, now)
+	if address, found := c.firstFree(addressesOf(c.tree.above), PurposeFollow, now); found {
+		return address, true
+	}
+	if c.caughtUp && !c.Stale(now) && c.tree.size > 1 {
+		return "", false
+	}
+	return c.firstFree(c.lastResorts(), PurposeFollow, now)
 }
 
 // nextAsk returns a balancer to ask while nothing is known here: one that is
-// known by now, a seed, or one that called.
+// known by now, a seed, or one that called. At first only the one to follow is
+// asked, so that not all take everything from the first of a zone.
 func (c *Core) nextAsk(now time.Time) (string, bool) {
 	if c.knows() {
 		return "", false
 	}
-	return c.firstFree(append(c.candidates(), c.callers...), PurposeAsk, now)
+	above := addressesOf(c.tree.above)
+	if len(above) > 0 && now.Before(c.start.parentUntil) {
+		if c.underWay[PurposeAsk] > 0 {
+			return "", false
+		}
+		return c.firstFree(above, PurposeAsk, now)
+	}
+	return c.firstFree(slices.Concat(above, c.lastResorts(), c.callers), PurposeAsk, now)
 }
 
 // firstFree returns the first of the addresses that is not passed over and not
@@ -115,26 +134,19 @@
 	return "", false
 }
 
-// candidates are the addresses to follow, the best first: the parent, its
-// parents, the rest of the zone, other zones, and the seeds.
-func (c *Core) candidates() []string {
-	var addresses []string
-	place := c.place
-	for place > 0 {
-		place = c.parentOf(place)
-		addresses = append(addresses, c.order[place].GetPeerAddress())
-	}
-	for _, balancer := range c.order {
-		addresses = append(addresses, balancer.GetPeerAddress())
-	}
-	for _, balancer := range c.others {
-		addresses = append(addresses, balancer.GetPeerAddress())
-	}
-	return append(addresses, c.config.Seeds...)
+// lastResorts are the addresses to call when no balancer above this one can be
+// followed: all others, and the seeds.
+func (c *Core) lastResorts() []string {
+	return append(addressesOf(c.tree.rest), c.config.Seeds...)
 }
 
-// parentOf is the place in the order that a later place follows.
-func (c *Core) parentOf(place int) int { return (place - 1) / c.config.TreeWidth }
+func addressesOf(balancers []*apiv1.Balancer) []string {
+	addresses := make([]string, 0, len(balancers))
+	for _, b := range balancers {
+		addresses = append(addresses, b.GetPeerAddress())
+	}
+	return addresses
+}
 
 // PeerAnswered takes a peer's answer: its knowledge was confirmed as of a time.
 // A peer that is itself stale is passed over for a while, and one that knows
@@ -150,7 +162,8 @@
 		c.askAnswered(peer, asOf, now)
 		return
 	}
-	stale := now.Sub(asOf) > c.config.StaleAfter
+	stale := now.Sub(asOf) > c.config.Pace.Stale
+	c.contactOf(peer.Address).useless = stale
 	switch {
 	case stale && !c.knows():
 		c.paused[peer.Address] = now.Add(eagerPause)
@@ -182,6 +195,7 @@
 // here: it may be starting at this moment, as this balancer is.
 func (c *Core) PeerFailed(peer Peer, now time.Time) {
 	c.callEnded(peer)
+	c.contactOf(peer.Address).useless = true
 	switch {
 	case peer.Purpose == PurposeTell:
 		c.tellPause = max(c.tellPause/2, tellShortest)
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -15,10 +15,8 @@
 	Self *apiv1.Balancer
 	// Seeds are addresses of balancers to ask while none is known.
 	Seeds []string
-	// PollInterval is how often the reader of a zone reads the store.
-	PollInterval time.Duration
-	// StaleAfter is the age of knowledge at which every balancer reads it.
-	StaleAfter time.Duration
+	// Pace is how often the store is read and how old knowledge may grow.
+	Pace Pace
 	// TreeWidth is how many balancers follow one.
 	TreeWidth int
 	// SharedOrderLimit is up to how many balancers share one order over all
@@ -28,8 +26,8 @@
 	PeerPause time.Duration
 	// BackoffLimit is the longest pause after a failed call to the store.
 	BackoffLimit time.Duration
-	// StartPatience is how long a balancer that knows nothing leaves a large
-	// store to others and waits for peers.
+	// StartPatience is how long a balancer that knows nothing leaves the store
+	// to others and waits for peers.
 	StartPatience time.Duration
 	// AuditInterval is how often a large store is read whole all the same.
 	AuditInterval time.Duration
@@ -44,19 +42,21 @@
 	// PollPage reads the first page. A small store is read whole by it, which
 	// is cheaper and more certain than to wait for changes.
 	PollPage
-	// PollSnapshot reads all pages of a large store.
+	// PollSnapshot reads all pages.
 	PollSnapshot
 	// PollChanges waits for the changes of a large store.
 	PollChanges
-	// PollMembers reads the entries of the balancers only. After an outage, a
-	// balancer that knows nothing so learns who should read a large store, before
-	// all of them read it over links that may be narrow.
+	// PollCatchUp takes the changes of a large store that there are by now.
+	PollCatchUp
+	// PollMembers reads the entries of this zone's balancers only, at the price
+	// of an old answer. A balancer that knows nothing so learns who should read
+	// the store, before all of them read it over links that may be narrow.
 	PollMembers
+	// PollOld reads all pages at the price of an old answer. It confirms
+	// nothing; what has changed since comes from a peer.
+	PollOld
 )
 
-// changesPause lets changes gather between two calls that wait for them.
-const changesPause = 100 * time.Millisecond
-
 // DefaultTreeWidth suits readers that answer a few calls a second. The two
 // strongest of a zone of 34 balancers then serve all others.
 const DefaultTreeWidth = 16
@@ -70,32 +70,34 @@
 type Core struct {
 	config Config
 	chance *rand.Rand
-	// order is the balancers that share a reader, the reader first; others are
-	// those of other orders.
-	order  []*apiv1.Balancer
-	others []*apiv1.Balancer
+	// givenSeeds are the seeds as they were given.
+	givenSeeds []string
+	// tree is who follows whom among the balancers that are known.
+	tree *tree
 	// confirmedAt is when the store last confirmed what is known; the zero time
 	// is never.
 	confirmedAt time.Time
 	nextPoll    time.Time
 	failures    int
-	// membersRead is set once the entries of the balancers were read alone.
-	membersRead bool
+	start       startState
 	// large is set when the store has more than one page.
 	large        bool
 	nextSnapshot time.Time
-	// patienceUntil is when a balancer that knows nothing stops to wait for
-	// peers.
-	patienceUntil time.Time
-	paused        map[string]time.Time
-	// place is this balancer's place in the order.
-	place int
+	// historyLost is set when the store has forgotten the changes after what is
+	// known here.
+	historyLost bool
+	// drawnAt is when this balancer tries a store that those before it do not
+	// read; the zero time is not drawn.
+	drawnAt time.Time
+	paused  map[string]time.Time
 	// calls are those to other balancers that are under way, and underWay how
 	// many there are of each purpose.
 	calls    map[callKey]bool
 	underWay [purposeCount]int
 	// contacts are the other balancers by address.
 	contacts map[string]*contact
+	// heardAt is when any other balancer was last heard.
+	heardAt time.Time
 	// hints are addresses of balancers that have shown to know more, callers
 	// of those that called while nothing was known here.
 	hints, callers []string
@@ -112,46 +114,43 @@
 	// caughtUp is set once a peer has told everything that it holds. From then
 	// on, what is new after a revision is enough, whoever tells it.
 	caughtUp bool
+	members  members
 }
 
 // NewCore makes the state of a balancer that knows nothing.
 func NewCore(config Config, chance *rand.Rand, now time.Time) *Core {
-	patience := config.StartPatience + time.Duration(chance.Int64N(int64(config.StartPatience)+1))
-	return &Core{
-		config:        config,
-		chance:        chance,
-		patienceUntil: now.Add(patience),
-		nextSnapshot:  now.Add(config.AuditInterval),
-		paused:        make(map[string]time.Time),
-		calls:         make(map[callKey]bool),
-		contacts:      make(map[string]*contact),
-		tellPause:     tellShortest,
+	made := &Core{
+		config:       config,
+		chance:       chance,
+		nextSnapshot: now.Add(config.AuditInterval),
+		paused:       make(map[string]time.Time),
+		calls:        make(map[callKey]bool),
+		contacts:     make(map[string]*contact),
+		tellPause:    tellShortest,
+		members:      newMembers(),
 	}
+	made.start.patienceUntil = made.patience(now)
+	made.SetBalancers(nil, now)
+	return made
 }
 
-// SetSeeds replaces the addresses to ask while no balancer is known.
-func (c *Core) SetSeeds(seeds []string) { c.config.Seeds = seeds }
-
-// SetBalancers takes the balancers that have an entry in the directory. While
-// they are few, all zones share one order, and so one reader.
-func (c *Core) SetBalancers(known []*apiv1.Balancer) {
-	c.order, c.others = nil, nil
-	c.order = append(c.order, c.config.Self)
-	few := len(known) <= c.config.SharedOrderLimit
-	for _, balancer := range known {
-		switch {
-		case balancer.GetName() == c.config.Self.GetName():
-		case few || balancer.GetZone() == c.config.Self.GetZone():
-			c.order = append(c.order, balancer)
-		default:
-			c.others = append(c.others, balancer)
-		}
+// SetSeeds replaces the addresses to ask while no balancer is known. They are
+// taken in an order of this balancer's own, so that not all follow the first.
+func (c *Core) SetSeeds(seeds []string) {
+	if slices.Equal(seeds, c.givenSeeds) {
+		return
 	}
-	byRank(c.order)
-	byRank(c.others)
-	c.place = slices.IndexFunc(c.order, func(balancer *apiv1.Balancer) bool {
-		return balancer.GetName() == c.config.Self.GetName()
+	c.givenSeeds = seeds
+	c.config.Seeds = slices.Clone(seeds)
+	c.chance.Shuffle(len(seeds), func(i, j int) {
+		c.config.Seeds[i], c.config.Seeds[j] = c.config.Seeds[j], c.config.Seeds[i]
 	})
+}
+
+// SetBalancers takes the balancers that have an entry in the directory.
+func (c *Core) SetBalancers(known []*apiv1.Balancer, now time.Time) {
+	c.tree = newTree(c.config.Self, known, c.config.SharedOrderLimit, c.config.TreeWidth)
+	c.members.list(known, c.tree.below, now)
 	c.forgetContacts(known)
 }
 
@@ -167,11 +166,27 @@
 	maps.DeleteFunc(c.contacts, func(address string, _ *contact) bool { return !listed[address] })
 }
 
-// Reader tells whether this balancer reads the store for its zone.
-func (c *Core) Reader() bool { return c.place == 0 }
+// Reader tells whether this balancer reads the store for all. One that knows no
+// other leaves that to its seeds.
+func (c *Core) Reader() bool {
+	if c.tree.size > 1 {
+		return c.tree.rank() == 0
+	}
+	return len(c.config.Seeds) == 0 || slices.Contains(c.config.Seeds, c.config.Self.GetPeerAddress())
+}
 
-// OrderSize is how many balancers share the order, this one included.
-func (c *Core) OrderSize() int { return len(c.order) }
+// Reads tells whether this balancer reads the store for others by now: it is the
+// reader, or acts for it.
+func (c *Core) Reads() bool { return c.Reader() || c.acting() }
+
+// OrderSize is how many balancers share the order, this one included: those of
+// its zone, or all while they are few.
+func (c *Core) OrderSize() int { return len(c.tree.own()) }
+
+// SharesOrder tells whether the balancer at an address shares the order.
+func (c *Core) SharesOrder(address string) bool {
+	return slices.ContainsFunc(c.tree.own(), func(b *apiv1.Balancer) bool { return b.GetPeerAddress() == address })
+}
 
 // Age is the time since the store confirmed what is known.
 func (c *Core) Age(now time.Time) (time.Duration, bool) {
@@ -187,7 +202,7 @@
 // Stale tells whether the knowledge is too old to rely on others for it.
 func (c *Core) Stale(now time.Time) bool {
 	age, known := c.Age(now)
-	return !known || age > c.config.StaleAfter
+	return !known || age > c.config.Pace.Stale
 }
 
 // Confirm takes that the store has confirmed everything as of a time. It tells
@@ -196,7 +211,7 @@
 	if !asOf.After(c.confirmedAt) {
 		return false
 	}
-	if c.knows() && asOf.Sub(c.confirmedAt) > c.config.StaleAfter {
+	if c.knows() && asOf.Sub(c.confirmedAt) > c.config.Pace.Stale {
 		c.returnedAt = asOf
 	}
 	if !c.knows() {
@@ -204,6 +219,7 @@
 		c.hints = nil
 	}
 	c.confirmedAt = asOf
+	c.drawnAt = time.Time{}
 	return true
 }
 
@@ -213,75 +229,82 @@
 
 // NextPoll returns the call to make to the store now.
 func (c *Core) NextPoll(now time.Time) Poll {
-	if now.Before(c.nextPoll) || !c.Reader() && !c.Stale(now) {
-		return PollNone
-	}
 	switch {
-	case !c.knows() && c.failures > 0 && !c.membersRead:
-		return PollMembers
-	case c.leavesToOthers(now):
+	case now.Before(c.nextPoll):
+		return PollNone
+	case !c.knows():
+		return c.startPoll(now)
+	case c.Reads():
+		return c.readerPoll(now)
+	case !c.standsIn(now):
 		return PollNone
 	case !c.large:
 		return PollPage
-	case c.confirmedAt.IsZero() || !now.Before(c.nextSnapshot):
+	case c.historyLost:
 		return PollSnapshot
 	}
-	return PollChanges
+	return PollCatchUp
 }
 
-// leavesToOthers tells whether this balancer knows nothing, but leaves a store
-// that is large, or has many balancers, to those that should read it and waits for
-// them.
-func (c *Core) leavesToOthers(now time.Time) bool {
-	many := c.large || c.membersRead && len(c.order)+len(c.others) > c.config.SharedOrderLimit
-	return many && !c.knows() && !c.elected() && now.Before(c.patienceUntil)
-}
-
-// elected tells whether this balancer is known to be the reader, and does not
-// only believe so because it knows no other.
-func (c *Core) elected() bool {
-	if !c.Reader() {
-		return false
-	}
-	if len(c.order) > 1 || len(c.config.Seeds) == 0 {
-		return true
+// readerPoll is the call of a balancer that reads the store for others.
+func (c *Core) readerPoll(now time.Time) Poll {
+	switch {
+	case !c.large:
+		return PollPage
+	case c.historyLost || !now.Before(c.nextSnapshot):
+		return PollSnapshot
 	}
-	return slices.Contains(c.config.Seeds, c.config.Self.GetPeerAddress())
+	return PollChanges
 }
 
 // PollStarted spaces the next call from the start of this one.
 func (c *Core) PollStarted(poll Poll, now time.Time) {
-	c.nextPoll = now.Add(c.config.PollInterval)
+	c.nextPoll = now.Add(c.config.Pace.Poll)
 	switch poll {
 	case PollChanges:
-		c.nextPoll = now.Add(changesPause)
+		c.nextPoll = now.Add(c.config.Pace.Gather)
 	case PollSnapshot:
 		half := c.config.AuditInterval / 2
 		c.nextSnapshot = now.Add(half + time.Duration(c.chance.Int64N(int64(half)+1)))
-	case PollNone, PollPage, PollMembers:
+	case PollNone, PollPage, PollCatchUp, PollMembers, PollOld:
 	}
 }
 
-// PollSucceeded ends a back-off. A first page that was not all makes the store
-// a large one, which is then looked at again at once.
-func (c *Core) PollSucceeded(poll Poll, complete bool, now time.Time) {
-	if poll == PollMembers {
-		c.membersRead = true
+// PollSucceeded ends a back-off. onePage tells of a read of pages that the first
+// one was all of them; a first page that was not all makes the store a large one,
+// which is then looked at again at once.
+func (c *Core) PollSucceeded(poll Poll, onePage bool, now time.Time) {
+	switch poll {
+	case PollMembers, PollOld:
+		c.start.read(poll)
+		c.start.parentUntil = now.Add(parentTime)
+		c.start.patienceUntil = c.patience(now)
 		c.nextPoll = now
-		c.patienceUntil = now.Add(c.config.StartPatience + time.Duration(c.chance.Int64N(int64(c.config.StartPatience)+1)))
 		return
-	}
-	c.failures = 0
-	c.alone = !c.Reader()
-	if poll == PollPage && c.large == complete {
-		c.large = !complete
+	case PollPage:
+		if c.large == onePage {
+			c.nextPoll = now
+		}
+		c.large = !onePage
+	case PollSnapshot:
+		c.large = !onePage
+		c.historyLost = false
 		c.nextPoll = now
+		if onePage {
+			c.nextPoll = now.Add(c.config.Pace.Poll)
+		}
+	case PollNone, PollChanges, PollCatchUp:
 	}
+	c.failures = 0
+	c.alone = !c.Reader() && !c.startsAsHead()
 }
 
 // HistoryLost makes the next call a snapshot: the store no longer has the
 // changes after what is known.
-func (c *Core) HistoryLost(now time.Time) { c.nextSnapshot = now }
+func (c *Core) HistoryLost(now time.Time) {
+	c.historyLost = true
+	c.nextPoll = now
+}
 
 // firstBackoff is the pause after one failed call; it doubles with each.
 const firstBackoff = 100 * time.Millisecond
@@ -305,4 +328,5 @@
 	c.failures++
 	half := pause / 2
 	c.nextPoll = now.Add(half + time.Duration(c.chance.Int64N(int64(half)+1)))
+	c.drawnAt = time.Time{}
 }
--- a/internal/replication/core_test.go
+++ b/internal/replication/core_test.go
@@ -19,16 +19,16 @@
 
 func newCore(place int, seeds ...string) *Core {
 	return NewCore(Config{
-		Self:         &apiv1.Balancer{Name: name(place), Zone: "maadi", PeerAddress: address(place)},
-		Seeds:        seeds,
-		PollInterval: time.Second, StaleAfter: 1400 * time.Millisecond, TreeWidth: 2,
+		Self:  &apiv1.Balancer{Name: name(place), Zone: "maadi", PeerAddress: address(place)},
+		Seeds: seeds,
+		Pace:  NewPace(time.Second, 1400*time.Millisecond), TreeWidth: 2,
 		PeerPause: 2 * time.Second, BackoffLimit: time.Second,
 		StartPatience: 500 * time.Millisecond, AuditInterval: time.Minute,
 	}, rand.New(rand.NewPCG(1, 2)), start)
 }
 
 func name(place int) string    { return fmt.Sprintf("edge-%d", place) }
-func address(place int) string { return fmt.Sprintf("10.0.0.%d:8166", place) }
+func address(place int) string { return fmt.Sprintf("10.0.%d.%d:8166", place/250, place%250) }
 
 func zoneOf(count int) []*apiv1.Balancer {
 	var found []*apiv1.Balancer
@@ -42,7 +42,7 @@
 	readers := 0
 	for place := range 20 {
 		core := newCore(place)
-		core.SetBalancers(zoneOf(20))
+		core.SetBalancers(zoneOf(20), start)
 		if core.Reader() {
 			readers++
 		}
@@ -55,7 +55,7 @@
 	followers := make(map[string]int)
 	for place := range count {
 		core := newCore(place)
-		core.SetBalancers(zoneOf(count))
+		core.SetBalancers(zoneOf(count), start)
 		core.Confirm(after(0))
 		if core.Reader() {
 			continue
@@ -87,7 +87,7 @@
 	for place := range count {
 		core := newCore(place)
 		core.config.Self, core.config.TreeWidth = zone[place], DefaultTreeWidth
-		core.SetBalancers(zone)
+		core.SetBalancers(zone, start)
 		core.Confirm(after(0))
 		if core.Reader() {
 			readers++
@@ -124,7 +124,7 @@
 func follower(t *testing.T) *Core {
 	for place := range 3 {
 		core := newCore(place)
-		core.SetBalancers(zoneOf(3))
+		core.SetBalancers(zoneOf(3), start)
 		if !core.Reader() {
 			return core
 		}
@@ -163,7 +163,7 @@
 // the usual pace once it answers.
 func TestStoreBackoff(t *testing.T) {
 	core := newCore(1)
-	core.SetBalancers(nil)
+	core.SetBalancers(nil, start)
 	core.Confirm(after(-5000))
 	now := after(0)
 	calls := 0
@@ -186,7 +186,7 @@
 // A balancer that knows nothing asks more eagerly, the store for a while only.
 func TestEagerWhileNothingIsKnown(t *testing.T) {
 	core := newCore(1, address(7), address(8))
-	core.SetBalancers(nil)
+	core.SetBalancers(nil, start)
 	calls, late := 0, 0
 	for elapsed := 0; elapsed < 30_000; elapsed += 10 {
 		if core.NextPoll(after(elapsed)) == PollNone {
@@ -222,36 +222,45 @@
 	require.Equal(t, 200*time.Millisecond, age)
 }
 
-func TestLargeStoreIsLeftToTheReaderAtAStart(t *testing.T) {
+func TestStoreIsLeftToOthersAtAStart(t *testing.T) {
 	core := newCore(1, address(7))
-	core.SetBalancers(nil)
-	require.Equal(t, PollPage, core.NextPoll(after(0)))
-	core.PollStarted(PollPage, after(0))
-	core.PollSucceeded(PollPage, false, after(10))
+	require.Equal(t, PollMembers, core.NextPoll(after(0)))
+	core.PollStarted(PollMembers, after(0))
+	core.PollSucceeded(PollMembers, false, after(10))
 	require.Equal(t, PollNone, core.NextPoll(after(10)), "peers are asked first")
-	require.Equal(t, PollSnapshot, core.NextPoll(after(1010)), "patience ends")
+	require.Equal(t, PollOld, core.NextPoll(after(1010)), "patience ends")
+	core.PollStarted(PollOld, after(1010))
+	core.PollSucceeded(PollOld, false, after(1020))
+	require.Equal(t, PollNone, core.NextPoll(after(1020)), "peers are asked for what is new")
+	require.Equal(t, PollSnapshot, core.NextPoll(after(2020)), "nobody has answered")
 }
 
-func TestSeedReadsALargeStoreAtOnce(t *testing.T) {
+func TestSeedReadsTheStoreAtOnce(t *testing.T) {
 	core := newCore(1, address(1))
-	core.SetBalancers(nil)
-	core.PollStarted(PollPage, after(0))
-	core.PollSucceeded(PollPage, false, after(10))
+	core.PollStarted(PollMembers, after(0))
+	core.PollSucceeded(PollMembers, false, after(10))
 	require.Equal(t, PollSnapshot, core.NextPoll(after(10)))
 }
 
 func TestLargeStoreIsFollowedByItsChanges(t *testing.T) {
 	core := newCore(1, address(1))
-	core.SetBalancers(nil)
-	core.PollSucceeded(PollPage, false, after(0))
 	core.PollStarted(PollSnapshot, after(0))
+	core.PollSucceeded(PollSnapshot, false, after(50))
 	core.Confirm(after(0))
-	core.PollSucceeded(PollSnapshot, true, after(50))
-	require.Equal(t, PollChanges, core.NextPoll(after(1000)))
+	require.Equal(t, PollChanges, core.NextPoll(after(50)))
 	core.HistoryLost(after(1000))
 	require.Equal(t, PollSnapshot, core.NextPoll(after(1000)))
 }
 
+func TestSmallStoreIsReadWhole(t *testing.T) {
+	core := newCore(1, address(1))
+	core.PollStarted(PollSnapshot, after(0))
+	core.PollSucceeded(PollSnapshot, true, after(50))
+	core.Confirm(after(0))
+	require.Equal(t, PollNone, core.NextPoll(after(51)))
+	require.Equal(t, PollPage, core.NextPoll(after(1050)))
+}
+
 // Everything is told once, not again by each new parent.
 func TestFollowersCatchUpOnce(t *testing.T) {
 	core := follower(t)
@@ -267,11 +276,11 @@
 }
 
 func TestReaderAsksForTombstonesOnceAtItsStart(t *testing.T) {
-	core := newCore(1, address(7))
-	core.SetBalancers(nil)
+	core := newCore(1, address(1), address(7))
 	core.Confirm(after(0))
 	peer, found := core.NextPeer(after(1))
 	require.True(t, found)
+	require.Equal(t, address(7), peer.Address)
 	require.True(t, peer.Everything)
 	core.PeerAnswered(peer, after(1), after(2))
 	_, found = core.NextPeer(after(3))
--- /dev/null
+++ b/internal/replication/fleet_test.go
@@ -0,0 +1,471 @@
+package replication
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+)
+
+// fleet is balancers in zones beside a store that counts its calls, in virtual
+// time. One step is ten milliseconds, which is also what a message takes. What
+// the store holds is its revision and the entries of the balancers.
+type fleet struct {
+	t       *testing.T
+	now     time.Time
+	chance  *rand.Rand
+	nodes   []*fleetNode
+	byPlace map[string]*fleetNode
+	seeds   []string
+	// revision is the store's, and lists are the balancers as of revisions.
+	revision uint64
+	lists    []listing
+	// refuses tells which nodes the store does not answer.
+	refuses func(*fleetNode) bool
+	// cut tells between which nodes messages are lost.
+	cut func(a, b *fleetNode) bool
+	// exact and old count the calls at full price and at that of an old answer.
+	exact, old int
+	polls      []*fleetPoll
+	calls      []*fleetCall
+	// mostStale is the largest number of nodes whose knowledge was stale at once.
+	mostStale int
+}
+
+type listing struct {
+	revision uint64
+	entries  []*apiv1.Balancer
+}
+
+type fleetNode struct {
+	entry    *apiv1.Balancer
+	place    int
+	core     *Core
+	revision uint64
+	listed   uint64
+	polling  bool
+	alive    bool
+	started  int
+	startAt  time.Time
+}
+
+type fleetPoll struct {
+	node    *fleetNode
+	started int
+	poll    Poll
+	write   Write
+	sentAt  time.Time
+}
+
+type fleetCall struct {
+	from, to *fleetNode
+	started  int
+	peer     Peer
+	arrived  bool
+	sentAt   time.Time
+	shown    []*apiv1.Balancer
+	silent   []string
+}
+
+const fleetZones = 5
+
+// fleetPace is that of the large sites.
+func fleetPace() Pace { return NewPace(2*time.Second, 2800*time.Millisecond) }
+
+// newFleet starts balancers that nobody has listed, as on the first day.
+func newFleet(t *testing.T, count int) *fleet {
+	made := &fleet{
+		t: t, now: start, chance: rand.New(rand.NewPCG(uint64(count), 1)), revision: 1,
+		byPlace: make(map[string]*fleetNode),
+		refuses: func(*fleetNode) bool { return false },
+		cut:     func(_, _ *fleetNode) bool { return false },
+	}
+	for place := range count {
+		entry := &apiv1.Balancer{Name: name(place), Zone: fmt.Sprintf("zone-%d", place%fleetZones),
+			PeerAddress: address(place), ProcessorCores: 0.06, LinkMegabits: 20}
+		if place < 3*fleetZones {
+			entry.ProcessorCores, entry.LinkMegabits = 0.8, 200
+		}
+		node := &fleetNode{entry: entry, place: place}
+		made.nodes = append(made.nodes, node)
+		made.byPlace[entry.GetPeerAddress()] = node
+	}
+	for _, place := range []int{count / 2, count / 3, count - 1} {
+		made.seeds = append(made.seeds, address(place))
+	}
+	for _, node := range made.nodes {
+		made.start(node)
+	}
+	return made
+}
+
+func (f *fleet) start(node *fleetNode) {
+	node.core = NewCore(Config{
+		Self: node.entry, Seeds: f.seeds, Pace: fleetPace(), TreeWidth: DefaultTreeWidth,
+		SharedOrderLimit: DefaultSharedOrderLimit, PeerPause: 2 * time.Second, BackoffLimit: time.Second,
+		StartPatience: 500 * time.Millisecond, AuditInterval: time.Minute,
+	}, f.chance, f.now)
+	node.revision, node.listed, node.polling = 0, 0, false
+	node.alive, node.startAt = true, f.now
+	node.started++
+}
+
+// kill ends a node, which starts again after a pause; 0 is never.
+func (f *fleet) kill(node *fleetNode, pause time.Duration) {
+	node.alive, node.startAt = false, time.Time{}
+	if pause > 0 {
+		node.startAt = f.now.Add(pause)
+	}
+}
+
+func (f *fleet) run(length time.Duration) {
+	for end := f.now.Add(length); f.now.Before(end); {
+		f.step()
+	}
+}
+
+// count runs for a time and returns the calls at full price meanwhile.
+func (f *fleet) count(length time.Duration) int {
+	f.exact, f.old, f.mostStale = 0, 0, 0
+	f.run(length)
+	return f.exact
+}
+
+func (f *fleet) step() {
+	f.now = f.now.Add(outageStep)
+	stale := 0
+	for _, node := range f.nodes {
+		if !node.alive && !node.startAt.IsZero() && !f.now.Before(node.startAt) {
+			f.start(node)
+		}
+		if !node.alive {
+			continue
+		}
+		if node.core.Stale(f.now) {
+			stale++
+		}
+		f.act(node)
+	}
+	f.mostStale = max(f.mostStale, stale)
+	polls := f.polls
+	f.polls = nil
+	for _, poll := range polls {
+		f.answerPoll(poll)
+	}
+	kept := f.calls[:0]
+	for _, call := range f.calls {
+		if !f.move(call) {
+			kept = append(kept, call)
+		}
+	}
+	f.calls = kept
+}
+
+// act makes the calls of a node that are due.
+func (f *fleet) act(node *fleetNode) {
+	if poll := node.core.NextPoll(f.now); poll != PollNone && !node.polling {
+		node.polling = true
+		node.core.PollStarted(poll, f.now)
+		f.polls = append(f.polls, &fleetPoll{node: node, started: node.started, poll: poll, sentAt: f.now})
+		if poll == PollMembers || poll == PollOld {
+			f.old++
+		} else {
+			f.exact++
+		}
+	}
+	if write, found := node.core.NextWrite(f.now); found {
+		f.exact++
+		f.polls = append(f.polls, &fleetPoll{node: node, started: node.started, write: write, sentAt: f.now})
+	}
+	for {
+		peer, found := node.core.NextPeer(f.now)
+		if !found {
+			return
+		}
+		made := &fleetCall{from: node, to: f.byPlace[peer.Address], started: node.started, peer: peer, sentAt: f.now}
+		if peer.Purpose == PurposeFollow {
+			made.shown, made.silent = node.core.Shown(f.now), node.core.Silent(f.now)
+		}
+		f.calls = append(f.calls, made)
+	}
+}
+
+// answerPoll answers a call to the store, or lets it wait on.
+func (f *fleet) answerPoll(poll *fleetPoll) {
+	node := poll.node
+	if !node.alive || node.started != poll.started {
+		return
+	}
+	refused := f.refuses(node)
+	waits := poll.poll == PollChanges && f.now.Sub(poll.sentAt) < fleetPace().Wait && f.revision == node.revision
+	if waits && !refused {
+		f.polls = append(f.polls, poll)
+		return
+	}
+	if poll.poll == PollNone {
+		f.write(poll.write, refused)
+		node.core.WriteEnded(poll.write, refused, f.now)
+		return
+	}
+	node.polling = false
+	if refused {
+		node.core.PollFailed(f.now)
+		return
+	}
+	node.core.PollSucceeded(poll.poll, false, f.now)
+	switch poll.poll {
+	case PollMembers:
+		f.list(node, f.revision, node.entry.GetZone())
+	case PollOld:
+		node.revision = f.revision
+		f.list(node, f.revision, "")
+	case PollPage:
+	case PollNone, PollSnapshot, PollChanges, PollCatchUp:
+		f.learn(node, f.revision, poll.sentAt)
+	}
+}
+
+// write changes the entries of the store.
+func (f *fleet) write(write Write, refused bool) {
+	if refused {
+		return
+	}
+	f.revision++
+	kept := make(map[string]*apiv1.Balancer)
+	if len(f.lists) > 0 {
+		for _, entry := range f.lists[len(f.lists)-1].entries {
+			kept[entry.GetName()] = entry
+		}
+	}
+	for _, entry := range write.Put {
+		kept[entry.GetName()] = entry
+	}
+	for _, name := range write.Remove {
+		delete(kept, name)
+	}
+	made := listing{revision: f.revision}
+	for _, node := range f.nodes {
+		if entry := kept[node.entry.GetName()]; entry != nil {
+			made.entries = append(made.entries, entry)
+		}
+	}
+	f.lists = append(f.lists, made)
+}
+
+// list lets a node take the balancers that are listed as of a revision.
+func (f *fleet) list(node *fleetNode, revision uint64, zone string) {
+	for place := len(f.lists) - 1; place >= 0; place-- {
+		found := f.lists[place]
+		if found.revision > revision {
+			continue
+		}
+		if zone == "" && node.listed == found.revision {
+			return
+		}
+		entries := found.entries
+		if zone != "" {
+			entries = nil
+			for _, entry := range found.entries {
+				if entry.GetZone() == zone {
+					entries = append(entries, entry)
+				}
+			}
+		} else {
+			node.listed = found.revision
+		}
+		node.core.SetBalancers(entries, f.now)
+		return
+	}
+}
+
+func (f *fleet) learn(node *fleetNode, revision uint64, confirmedAt time.Time) {
+	node.core.Confirm(confirmedAt)
+	if revision > node.revision || node.listed == 0 {
+		node.revision = max(node.revision, revision)
+		f.list(node, node.revision, "")
+	}
+}
+
+// move tells whether a call between balancers has ended.
+func (f *fleet) move(call *fleetCall) bool {
+	from, to := call.from, call.to
+	if !from.alive || from.started != call.started {
+		return true
+	}
+	cut := f.cut(from, to)
+	waited := f.now.Sub(call.sentAt)
+	if !to.alive || cut && !call.arrived && waited >= 300*time.Millisecond || cut && waited >= 2*time.Second {
+		from.core.PeerFailed(call.peer, f.now)
+		return true
+	}
+	if cut {
+		return false
+	}
+	if !call.arrived {
+		call.arrived = true
+		f.arrive(call)
+		return false
+	}
+	age, knows := to.core.Age(f.now)
+	_, knew := from.core.Age(f.now)
+	younger := knows && (!knew || to.core.ConfirmedAt().Sub(from.core.ConfirmedAt()) >= fleetPace().Younger)
+	news := knows && to.revision > from.revision || younger
+	if call.peer.Waits() && waited < followTime && !news {
+		to.core.Heard(from.entry.GetPeerAddress(), f.now)
+		return false
+	}
+	if !knows {
+		from.core.PeerAnswered(call.peer, f.now.Add(-1000*time.Hour), f.now)
+		from.core.Learned(to.core.Callers())
+		return true
+	}
+	from.core.PeerAnswered(call.peer, f.now.Add(-age), f.now)
+	if call.peer.Purpose != PurposeAsk {
+		f.learn(from, to.revision, f.now.Add(-age))
+	}
+	return true
+}
+
+func (f *fleet) arrive(call *fleetCall) {
+	age, knows := call.from.core.Age(f.now)
+	call.to.core.Called(Caller{Address: call.from.entry.GetPeerAddress(), Knows: knows, Revision: call.from.revision,
+		ConfirmedAt: f.now.Add(-age)}, call.to.revision, f.now)
+	call.to.core.TakeShown(call.shown, f.now)
+	call.to.core.TakeSilent(call.silent, f.now)
+}
+
+// readers are the nodes that read the store for others by now.
+func (f *fleet) readers() []*fleetNode {
+	var found []*fleetNode
+	for _, node := range f.nodes {
+		if node.alive && node.core.Reads() {
+			found = append(found, node)
+		}
+	}
+	return found
+}
+
+// listedEntries are the entries in the store.
+func (f *fleet) listedEntries() []*apiv1.Balancer {
+	if len(f.lists) == 0 {
+		return nil
+	}
+	return f.lists[len(f.lists)-1].entries
+}
+
+// settled starts a fleet and runs it until all are listed.
+func settled(t *testing.T, count int) *fleet {
+	made := newFleet(t, count)
+	made.run(15 * time.Second)
+	require.Len(t, made.listedEntries(), count)
+	require.Len(t, made.readers(), 1)
+	return made
+}
+
+// forSizes runs a test for fleets of several sizes.
+func forSizes(t *testing.T, test func(t *testing.T, count int), sizes ...int) {
+	t.Parallel()
+	for _, count := range append([]int{8, 30, 300}, sizes...) {
+		t.Run(fmt.Sprintf("%d balancers", count), func(t *testing.T) {
+			t.Parallel()
+			test(t, count)
+		})
+	}
+}
+
+// All 295 to 351 balancers of kayalpath-edge-large read the store in six single
+// seconds of a quiet day: their knowledge grew stale at the same moment, since a
+// call waited longer for changes than knowledge may be old.
+func TestQuietMinuteCostsOneReader(t *testing.T) {
+	forSizes(t, func(t *testing.T, count int) {
+		f := settled(t, count)
+		require.LessOrEqual(t, f.count(time.Minute), 100, "two calls each 1.4 s")
+		require.Zero(t, f.mostStale)
+	}, 1000)
+}
+
+// Each start made a lease and an entry, and read the store whole.
+func TestStartOfEverythingIsWrittenAndReadByFew(t *testing.T) {
+	forSizes(t, func(t *testing.T, count int) {
+		f := newFleet(t, count)
+		calls := f.count(15 * time.Second)
+		require.Len(t, f.listedEntries(), count)
+		require.LessOrEqual(t, calls, 60+3*count/WriteLimit)
+		require.LessOrEqual(t, f.old, 2*count)
+	}, 1000)
+}
+
+func TestHerdRestartIsReadByTheHeads(t *testing.T) {
+	forSizes(t, func(t *testing.T, count int) {
+		for _, part := range []int{1, 2} {
+			f := settled(t, count)
+			for _, node := range f.nodes {
+				if node.place%part == 0 {
+					f.kill(node, time.Second+time.Duration(f.chance.IntN(300))*time.Millisecond)
+				}
+			}
+			calls := f.count(20 * time.Second)
+			require.LessOrEqual(t, calls, 70, "every %d. restarts", part)
+			require.LessOrEqual(t, f.old, 2*count/part+1)
+			require.Len(t, f.readers(), 1)
+		}
+	})
+}
+
+func TestDeadReaderCostsSomeCalls(t *testing.T) {
+	forSizes(t, func(t *testing.T, count int) {
+		f := settled(t, count)
+		for range 3 {
+			f.kill(f.readers()[0], 0)
+			require.LessOrEqual(t, f.count(time.Minute), 150)
+			require.LessOrEqual(t, f.mostStale, count/4)
+			require.Len(t, f.readers(), 1)
+		}
+		require.Len(t, f.listedEntries(), count-3, "the dead ones are removed")
+	})
+}
+
+// The store refuses a third of the balancers, the readers among them.
+func TestRefusedReadersAreReplaced(t *testing.T) {
+	forSizes(t, func(t *testing.T, count int) {
+		f := settled(t, count)
+		first := f.readers()[0]
+		f.refuses = func(node *fleetNode) bool { return node == first || node.place%3 == 0 }
+		calls := f.count(9 * time.Second)
+		require.LessOrEqual(t, calls, 150)
+		for _, node := range f.nodes {
+			age, _ := node.core.Age(f.now)
+			require.Less(t, age, 4500*time.Millisecond)
+		}
+	})
+}
+
+func TestSilentStoreIsTriedByFew(t *testing.T) {
+	forSizes(t, func(t *testing.T, count int) {
+		f := settled(t, count)
+		f.refuses = func(*fleetNode) bool { return true }
+		require.LessOrEqual(t, f.count(10*time.Second), 250, "standbys once a second, the others together eight times")
+		f.refuses = func(*fleetNode) bool { return false }
+		f.run(2 * time.Second)
+		for _, node := range f.nodes {
+			require.False(t, node.core.Stale(f.now), node.entry.GetName())
+		}
+	})
+}
+
+// A zone that is cut off from the others reads the store itself.
+func TestZoneCutOffReadsForItself(t *testing.T) {
+	forSizes(t, func(t *testing.T, count int) {
+		f := settled(t, count)
+		zone := f.readers()[0].entry.GetZone()
+		f.cut = func(a, b *fleetNode) bool { return (a.entry.GetZone() == zone) != (b.entry.GetZone() == zone) }
+		require.LessOrEqual(t, f.count(20*time.Second), 200)
+		for _, node := range f.nodes {
+			require.False(t, node.core.Stale(f.now), node.entry.GetName())
+		}
+	})
+}
--- /dev/null
+++ b/internal/replication/members_test.go
@@ -0,0 +1,129 @@
+package replication
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+)
+
+// reader makes the core that reads for three balancers.
+func reader(t *testing.T) *Core {
+	for place := range 3 {
+		core := newCore(place)
+		core.SetBalancers(zoneOf(3), start)
+		core.Confirm(start)
+		if core.Reader() {
+			return core
+		}
+	}
+	require.Fail(t, "no reader")
+	return nil
+}
+
+// On warraq-nile-grown 127 starts cost 254 calls for leases and entries. A
+// balancer that starts again is still listed.
+func TestBalancerThatStartsAgainWritesNothing(t *testing.T) {
+	core := newCore(1)
+	require.Len(t, core.Shown(start), 1, "it does not know yet that it is listed")
+	core.SetBalancers(zoneOf(3), start)
+	require.Empty(t, core.Shown(start))
+}
+
+func TestEntryThatIsNoLongerTrueIsShownAnew(t *testing.T) {
+	core := newCore(1)
+	listed := zoneOf(3)
+	listed[1].PeerAddress = "10.0.9.9:1"
+	core.SetBalancers(listed, start)
+	require.Equal(t, []*apiv1.Balancer{core.config.Self}, core.Shown(start))
+}
+
+func TestReaderWritesManyEntriesAtOnce(t *testing.T) {
+	core := reader(t)
+	var joining []*apiv1.Balancer
+	for place := range 50 {
+		joining = append(joining, &apiv1.Balancer{Name: name(100 + place), Zone: "maadi", PeerAddress: address(100 + place)})
+	}
+	core.TakeShown(joining, after(10))
+	core.TakeShown(joining[:5], after(20))
+	first, found := core.NextWrite(after(500))
+	require.True(t, found)
+	require.Len(t, first.Put, WriteLimit)
+	_, found = core.NextWrite(after(501))
+	require.False(t, found, "one at a time")
+	core.WriteEnded(first, false, after(510))
+	second, found := core.NextWrite(after(510 + 200))
+	require.True(t, found)
+	require.Len(t, second.Put, 50-WriteLimit)
+	core.WriteEnded(second, true, after(720))
+	_, found = core.NextWrite(after(730))
+	require.False(t, found)
+	again, found := core.NextWrite(after(1720))
+	require.False(t, found, "stale knowledge may not tell who is listed")
+	require.Empty(t, again.Put)
+	core.Confirm(after(1720))
+	again, found = core.NextWrite(after(1721))
+	require.True(t, found)
+	require.ElementsMatch(t, second.Put, again.Put, "nothing is lost by a write that failed")
+}
+
+// Nobody passes the entry on, or it was lost on the way: in the end the balancer
+// writes it itself.
+func TestBalancerThatNobodyListsWritesItsEntry(t *testing.T) {
+	core := newCore(7)
+	core.SetBalancers(zoneOf(3), start)
+	writes := 0
+	for elapsed := 0; elapsed < 12_000; elapsed += 50 {
+		core.Confirm(after(elapsed))
+		write, found := core.NextWrite(after(elapsed))
+		if !found {
+			continue
+		}
+		writes++
+		require.GreaterOrEqual(t, elapsed, int(writeOwnAfter.Milliseconds()))
+		require.Equal(t, []*apiv1.Balancer{core.config.Self}, write.Put)
+		core.WriteEnded(write, false, after(elapsed))
+	}
+	require.Equal(t, 1, writes)
+}
+
+// A balancer that its parent does not hear is removed once, and not while it is
+// only restarted or just listed.
+func TestSilentBalancerIsRemoved(t *testing.T) {
+	core := reader(t)
+	dead := core.tree.below[0]
+	removedAt := -1
+	for elapsed := 0; elapsed < 35_000; elapsed += 50 {
+		now := after(elapsed)
+		core.Confirm(now)
+		core.NextPeer(now)
+		for _, other := range core.tree.below[1:] {
+			core.Heard(other.GetPeerAddress(), now)
+		}
+		write, found := core.NextWrite(now)
+		if !found {
+			continue
+		}
+		require.Equal(t, []string{dead.GetName()}, write.Remove)
+		require.Equal(t, -1, removedAt, "it is not removed again at once")
+		removedAt = elapsed
+		core.WriteEnded(write, true, now)
+	}
+	require.Greater(t, removedAt, int(silentAfter.Milliseconds()))
+	require.Less(t, removedAt, int(silentAfter.Milliseconds())+1000)
+}
+
+func TestReportOfASilentBalancerIsCheckedByTheReader(t *testing.T) {
+	core := reader(t)
+	below := core.tree.below
+	now := start.Add(time.Minute)
+	core.Confirm(now)
+	core.Heard(below[0].GetPeerAddress(), now)
+	core.TakeSilent([]string{below[0].GetName(), "edge-99", core.config.Self.GetName()}, now)
+	require.Empty(t, core.members.silent, "one was heard here, one is not listed, one is this one")
+	core.TakeSilent([]string{below[1].GetName()}, now)
+	require.Equal(t, []string{below[1].GetName()}, core.Silent(now))
+	require.Empty(t, core.Silent(now.Add(2*showFor)), "a report is passed on for a while only")
+}
--- a/internal/replication/order.go
+++ b/internal/replication/order.go
@@ -1,9 +1,10 @@
 package replication
 
 import (
+	"cmp"
 	"hash/fnv"
 	"math"
-	"sort"
+	"slices"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 )
@@ -22,16 +23,29 @@
 // byRank puts balancers in the order that all of them know: the strong ones
 // first, those that are about as strong by a hash of their names.
 func byRank(balancers []*apiv1.Balancer) {
-	sort.Slice(balancers, func(i, j int) bool {
-		a, b := balancers[i], balancers[j]
-		if tier(a) != tier(b) {
-			return tier(a) > tier(b)
-		}
-		if rank(a.GetName()) != rank(b.GetName()) {
-			return rank(a.GetName()) < rank(b.GetName())
-		}
-		return a.GetName() < b.GetName()
-	})
+	order := make([]ranking, 0, len(balancers))
+	for _, b := range balancers {
+		order = append(order, ranking{balancer: b, tier: tier(b), hash: rank(b.GetName())})
+	}
+	slices.SortFunc(order, ranking.compare)
+	for place, ranked := range order {
+		balancers[place] = ranked.balancer
+	}
+}
+
+// ranking is what the order of balancers goes by, worked out once for each.
+type ranking struct {
+	balancer *apiv1.Balancer
+	tier     int
+	hash     uint64
+}
+
+func (r ranking) compare(other ranking) int {
+	return cmp.Or(
+		cmp.Compare(other.tier, r.tier),
+		cmp.Compare(r.hash, other.hash),
+		cmp.Compare(r.balancer.GetName(), other.balancer.GetName()),
+	)
 }
 
 // tier groups balancers by strength: each tier is twice as strong as the one
--- a/internal/replication/outage_test.go
+++ b/internal/replication/outage_test.go
@@ -68,11 +68,11 @@
 func (o *outage) start(node *outageNode) {
 	node.core = NewCore(Config{
 		Self:  &apiv1.Balancer{Name: name(node.place), Zone: "maadi", PeerAddress: address(node.place)},
-		Seeds: o.seeds, PollInterval: time.Second, StaleAfter: 1400 * time.Millisecond, TreeWidth: 16,
+		Seeds: o.seeds, Pace: NewPace(time.Second, 1400*time.Millisecond), TreeWidth: 16,
 		PeerPause: 2 * time.Second, BackoffLimit: time.Second,
 		StartPatience: 500 * time.Millisecond, AuditInterval: time.Minute,
 	}, o.chance, o.now)
-	node.core.SetBalancers(nil)
+	node.core.SetBalancers(nil, start)
 	node.revision, node.alive, node.startAt = 0, true, o.now
 	node.started++
 }
@@ -83,7 +83,7 @@
 	}
 	node.core.Confirm(confirmedAt)
 	node.revision = max(node.revision, revision)
-	node.core.SetBalancers(zoneOf(len(o.nodes)))
+	node.core.SetBalancers(zoneOf(len(o.nodes)), start)
 }
 
 func (o *outage) cut(from, to *outageNode) bool {
@@ -285,7 +285,7 @@
 func TestTellingIsBounded(t *testing.T) {
 	for _, count := range []int{7, 2000} {
 		core := newCore(0)
-		core.SetBalancers(zoneOf(count))
+		core.SetBalancers(zoneOf(count), start)
 		core.Confirm(start)
 		calls := 0
 		for elapsed := 2000; elapsed < 12_000; elapsed += 50 {
@@ -310,7 +310,7 @@
 	const count = 12
 	for place := range count {
 		core := newCore(place)
-		core.SetBalancers(zoneOf(count))
+		core.SetBalancers(zoneOf(count), start)
 		for elapsed := 0; elapsed < 30_000; elapsed += 50 {
 			now := after(elapsed)
 			core.Confirm(now)
@@ -331,7 +331,7 @@
 // Asking brings word of who knows; everything is fetched from one of them.
 func TestFreshBalancerFetchesEverythingOnce(t *testing.T) {
 	core := newCore(1, address(7), address(8), address(9))
-	core.SetBalancers(nil)
+	core.SetBalancers(nil, start)
 	var asked []Peer
 	for {
 		peer, found := core.NextPeer(after(0))
@@ -366,24 +366,24 @@
 	for place := range 40 {
 		core := newCore(place, address(1))
 		core.config.SharedOrderLimit = 16
-		core.SetBalancers(nil)
-		core.PollStarted(PollPage, after(0))
+		core.PollStarted(PollMembers, after(0))
 		core.PollFailed(after(1000))
 		require.Equal(t, PollMembers, core.NextPoll(after(2000)))
 		core.PollStarted(PollMembers, after(2000))
-		core.SetBalancers(zoneOf(40))
+		core.SetBalancers(zoneOf(40), start)
 		core.PollSucceeded(PollMembers, false, after(2010))
-		if core.NextPoll(after(2011)) == PollPage {
+		if core.NextPoll(after(2011)) == PollSnapshot {
 			readers++
 			continue
 		}
-		require.Equal(t, PollPage, core.NextPoll(after(3100)), "patience ends")
+		require.Equal(t, PollNone, core.NextPoll(after(2011)))
+		require.Equal(t, PollOld, core.NextPoll(after(3100)), "patience ends")
 	}
 	require.Equal(t, 1, readers)
 	small := newCore(1, address(1))
 	small.config.SharedOrderLimit = 16
 	small.PollFailed(after(0))
-	small.SetBalancers(zoneOf(8))
+	small.SetBalancers(zoneOf(8), start)
 	small.PollSucceeded(PollMembers, false, after(2010))
-	require.Equal(t, PollPage, small.NextPoll(after(2011)), "a small site reads at once")
+	require.Equal(t, PollSnapshot, small.NextPoll(after(2011)), "a small site reads at once")
 }
--- a/internal/replication/seek.go
+++ b/internal/replication/seek.go
@@ -30,8 +30,6 @@
 	// retellAfterCalm the one while others are in touch with the store.
 	retellAfter     = 200 * time.Millisecond
 	retellAfterCalm = 500 * time.Millisecond
-	// youngerBy is how much younger a confirmation must be to be worth a call.
-	youngerBy = 100 * time.Millisecond
 	// callersLimit bounds the callers that a balancer remembers while it knows
 	// nothing, and hintsLimit those it has yet to ask for what they know.
 	callersLimit = 16
@@ -41,6 +39,8 @@
 // contact is when another balancer was last heard and last told.
 type contact struct {
 	heardAt, toldAt time.Time
+	// useless is set when the last call to it failed, or brought stale knowledge.
+	useless bool
 }
 
 // Caller is another balancer as its call shows it.
@@ -93,7 +93,7 @@
 	case caller.Revision > revision:
 		return true
 	}
-	return c.Stale(now) && caller.ConfirmedAt.Sub(c.confirmedAt) >= youngerBy
+	return c.Stale(now) && caller.ConfirmedAt.Sub(c.confirmedAt) >= c.config.Pace.Younger
 }
 
 // addBounded appends an address that is not there yet, if there is room.
@@ -109,7 +109,10 @@
 
 // Heard takes a sign of life of another balancer: a call, an answer, or that its
 // call still waits here.
-func (c *Core) Heard(address string, now time.Time) { c.contactOf(address).heardAt = now }
+func (c *Core) Heard(address string, now time.Time) {
+	c.contactOf(address).heardAt = now
+	c.heardAt = now
+}
 
 func (c *Core) contactOf(address string) *contact {
 	known := c.contacts[address]
@@ -152,13 +155,11 @@
 		c.knownAt = now
 	}
 	search := search{core: c, now: now, everybody: c.alone || c.Stale(now)}
-	for place, balancer := range c.order {
-		if search.everybody || place > 0 && c.parentOf(place) == c.place {
-			search.consider(balancer.GetPeerAddress())
-		}
+	for _, balancer := range c.tree.below {
+		search.consider(balancer.GetPeerAddress())
 	}
 	if search.everybody {
-		for _, balancer := range c.others {
+		for _, balancer := range slices.Concat(c.tree.above, c.tree.rest) {
 			search.consider(balancer.GetPeerAddress())
 		}
 	}
@@ -221,7 +222,7 @@
 // told takes the answer of a balancer that was told. While those told know as
 // much, there is less hurry.
 func (c *Core) told(asOf time.Time) {
-	if c.confirmedAt.Sub(asOf) > c.config.StaleAfter {
+	if c.confirmedAt.Sub(asOf) > c.config.Pace.Stale {
 		c.tellPause = tellShortest
 		return
 	}
--- /dev/null
+++ b/internal/replication/start.go
@@ -0,0 +1,73 @@
+package replication
+
+import "time"
+
+// A balancer that starts knows nothing, and often all of them start at once. It
+// reads the names of its zone's balancers, which is little. If it is the first of
+// them, or they are few, it reads the store; the others wait for the one that they
+// are to follow. Who was not told in time reads an old copy of the store, which
+// has no share in the store's rate, and asks on; the last resort is an exact read.
+
+const (
+	// togetherLimit is up to how many balancers of a zone read the store at
+	// once: an answer then costs less than the wait for a peer.
+	togetherLimit = 8
+	// parentTime is for how long at a start only the balancer to follow is
+	// asked: it takes two levels about that long to read and to tell.
+	parentTime = 250 * time.Millisecond
+)
+
+// startState is how far a balancer that knows nothing has come.
+type startState struct {
+	// members and old tell that the names of the balancers and an old copy of
+	// the store were read.
+	members, old bool
+	// patienceUntil is when it stops to wait for peers.
+	patienceUntil time.Time
+	// parentUntil is until when only the balancer to follow is asked.
+	parentUntil time.Time
+}
+
+// read takes that a call of a start was answered.
+func (s *startState) read(poll Poll) {
+	switch poll {
+	case PollMembers:
+		s.members = true
+	case PollOld:
+		s.old = true
+	case PollNone, PollPage, PollSnapshot, PollChanges, PollCatchUp:
+	}
+}
+
+// startPoll returns the call to the store of a balancer that knows nothing.
+func (c *Core) startPoll(now time.Time) Poll {
+	switch {
+	case !c.start.members:
+		return PollMembers
+	case c.readsFirst():
+		return PollSnapshot
+	case now.Before(c.start.patienceUntil):
+		return PollNone
+	case !c.start.old:
+		return PollOld
+	}
+	return PollSnapshot
+}
+
+// readsFirst tells whether this balancer should read the store at a start
+// before others tell it. Who knows nobody leaves it to the seeds.
+func (c *Core) readsFirst() bool {
+	if c.tree.size == 1 {
+		return c.Reader()
+	}
+	return c.tree.place == 0 || len(c.tree.own()) <= togetherLimit
+}
+
+// startsAsHead tells whether this balancer has just read the store for the first
+// time, as the first of its zone should. Those that wait for it need not be sought.
+func (c *Core) startsAsHead() bool { return !c.knows() && c.tree.size > 1 && c.tree.place == 0 }
+
+// patience is until when a balancer that knows nothing waits for peers.
+func (c *Core) patience(now time.Time) time.Time {
+	return now.Add(c.config.StartPatience + time.Duration(c.chance.Int64N(int64(c.config.StartPatience)+1)))
+}
--- a/internal/settings/balancer.go
+++ b/internal/settings/balancer.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/mechanism"
+	"github.com/indigobarrow/indigobarrow/internal/replication"
 )
 
 // BalancerDefaults are the settings of a balancer that sets nothing.
@@ -69,7 +71,7 @@
 	}
 	derivePace(loaded)
 	checker.between("poll_milliseconds", loaded.GetPollMilliseconds(), 100, 60_000)
-	checker.between("stale_milliseconds", loaded.GetStaleMilliseconds(), loaded.GetPollMilliseconds(), 120_000)
+	checker.between("stale_milliseconds", loaded.GetStaleMilliseconds(), leastStale(loaded), 120_000)
 	return checker.faults
 }
 
@@ -77,8 +79,6 @@
 	// pollsInTime is how many reads of the store fit into the time that a
 	// change may take, so that one may fail.
 	pollsInTime = 3
-	// stalePolls is the age, in reads, beyond which knowledge is stale.
-	stalePolls = 1.4
 	// slowestPoll is the pace where changes have much time.
 	slowestPoll = 2000
 )
@@ -90,10 +90,17 @@
 		loaded.PollMilliseconds = uint32(min(inForce/pollsInTime, slowestPoll))
 	}
 	if loaded.GetStaleMilliseconds() == 0 {
-		loaded.StaleMilliseconds = uint32(float64(loaded.GetPollMilliseconds()) * stalePolls)
+		loaded.StaleMilliseconds = leastStale(loaded)
 	}
 }
 
+// leastStale is the least age, in milliseconds, that may count as stale at the
+// pace of the settings.
+func leastStale(loaded *apiv1.BalancerSettings) uint32 {
+	poll := time.Duration(loaded.GetPollMilliseconds()) * time.Millisecond
+	return uint32(replication.LeastStale(poll).Milliseconds())
+}
+
 // number checks a field that may be a fraction.
 func (checker *checker) number(field string, value, low, high float64) {
 	if value < low || value > high {
