--- a/internal/balancer/calls.go
+++ b/internal/balancer/calls.go
@@ -112,6 +112,7 @@
 			// Who is of another zone has hardly seen the same back ends, but counts
 			// as one more that might by chance.
 			request.Findings = encodeFindings(c.findings.here(now))
+			request.TakesFindings = true
 		}
 		request.Shown = c.core.Shown(now)
 		request.Silent = c.core.Silent(now)
@@ -177,9 +178,10 @@
 	// everything is set when it asks for tombstones too, and withoutChanges when
 	// for the revision only.
 	everything, withoutChanges bool
-	// takesPacked tells whether the follower understands packed tables.
-	takesPacked bool
-	reply       chan *apiv1.FollowReply
+	// takesPacked tells whether the follower understands packed tables, and
+	// takesFindings whether it wants the findings of all.
+	takesPacked, takesFindings bool
+	reply                      chan *apiv1.FollowReply
 	// gone is closed when the follower's connection has ended.
 	gone <-chan struct{}
 }
@@ -224,6 +226,7 @@
 		everything:     request.GetEverything(),
 		withoutChanges: request.GetWithoutChanges(),
 		takesPacked:    request.GetTakesPacked(),
+		takesFindings:  request.GetTakesFindings(),
 		reply:          make(chan *apiv1.FollowReply, 1),
 		gone:           ctx.Done(),
 	}
@@ -284,7 +287,9 @@
 		Batch:              c.newsFor(asking, known),
 		AgeMilliseconds:    uint32(age.Milliseconds()) + 1,
 		WaitedMilliseconds: uint32(now.Sub(asking.takenAt).Milliseconds()),
-		Findings:           found(),
+	}
+	if asking.takesFindings {
+		reply.Findings = found()
 	}
 	if !known {
 		reply.AgeMilliseconds = uint32(unknownAge.Milliseconds())
--- a/internal/balancer/findings_test.go
+++ b/internal/balancer/findings_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -89,3 +90,31 @@
 	control.take(well)
 	require.Empty(t, control.findings.all(now), "a follower that finds nothing any more says so")
 }
+
+// Balancers of another zone hardly see the same back ends. Their findings would
+// cost bytes between zones, and each would raise the evidence that is asked for.
+func TestFindingsStayAmongThoseThatShareAnOrder(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	var known []*apiv1.Balancer
+	for place := range 40 {
+		known = append(known, &apiv1.Balancer{Name: fmt.Sprintf("edge-%d", place+1), PeerAddress: fmt.Sprintf("10.0.0.%d:1", place+1),
+			Zone: []string{"maadi", "giza"}[place%2]})
+	}
+	control.core.SetBalancers(known, now)
+	control.findings.own = failing(9)
+	follow := func(address string) *apiv1.FollowRequest {
+		return control.requestTo(replication.Peer{Address: address, Purpose: replication.PurposeFollow}, 0, now)
+	}
+	require.Equal(t, 20, control.core.OrderSize())
+	require.True(t, follow("10.0.0.3:1").GetTakesFindings())
+	require.Len(t, follow("10.0.0.3:1").GetFindings(), 1)
+	require.False(t, follow("10.0.0.2:1").GetTakesFindings())
+	require.Empty(t, follow("10.0.0.2:1").GetFindings())
+	for _, takes := range []bool{true, false} {
+		asking := &follower{takesFindings: takes, takenAt: now, until: now, reply: make(chan *apiv1.FollowReply, 1)}
+		control.take(asking)
+		control.answerWaiting(now)
+		require.Equal(t, takes, len((<-asking.reply).GetFindings()) > 0)
+	}
+}
