Tell balancers that were lost just now at once, also after a calm time

Cause: the pause between two calls that tell doubles to 0.8 s (1.2 s with its jitter) while those told know as much, and the next time was fixed before anybody was lost. Now those heard since they were last told are told at the quickest pace.

--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -104,6 +104,8 @@
 	// knownAt is when something was first known here.
 	knownAt    time.Time
 	nextTellAt time.Time
+	// nextLookAt is when lost balancers are looked for again.
+	nextLookAt time.Time
 	tellPause  time.Duration
 	// alone is set when this balancer had to read the store although another one
 	// should have, until it follows one again that has younger knowledge.
--- a/internal/replication/outage_test.go
+++ b/internal/replication/outage_test.go
@@ -305,6 +305,35 @@
 	}
 }
 
+// A balancer that has had nobody to seek for long finds one that was lost just now
+// as fast as in a hurry. At a calm pace it was 1.2 s later, and the second of two
+// lost ones later still (found once by TestKnowledgeSpreadsInAnOutage).
+func TestThoseLostJustNowAreToldAtOnce(t *testing.T) {
+	core := reader(t)
+	below := core.tree.below
+	told := make(map[string]int)
+	for elapsed := 0; elapsed < 20_000; elapsed += 10 {
+		now := after(elapsed)
+		core.Confirm(now)
+		if elapsed >= 5000 && elapsed < 10_000 {
+			core.Heard(below[0].GetPeerAddress(), now)
+			core.Heard(below[1].GetPeerAddress(), now)
+		}
+		peer, found := core.NextPeer(now)
+		if !found || peer.Purpose != PurposeTell {
+			continue
+		}
+		if elapsed >= 10_000 && told[peer.Address] == 0 {
+			told[peer.Address] = elapsed
+		}
+		// It knows as much already, so that there is no hurry.
+		core.PeerAnswered(peer, now, now)
+	}
+	for _, b := range below {
+		require.Less(t, told[b.GetPeerAddress()], 10_000+int(lostAfter.Milliseconds())+200, b.GetName())
+	}
+}
+
 // A calm day costs no call that tells, as long as the calls of followers wait.
 func TestNobodyIsToldOnACalmDay(t *testing.T) {
 	const count = 12
--- a/internal/replication/seek.go
+++ b/internal/replication/seek.go
@@ -133,24 +133,32 @@
 	return address, true
 }
 
-// nextTell returns a balancer to tell, and spaces the next one.
+// nextTell returns a balancer to tell, and spaces the next one. One that was lost
+// since it was last told is told at the quickest pace, however calm it was before.
 func (c *Core) nextTell(now time.Time) (string, bool) {
-	if !c.knows() || now.Before(c.nextTellAt) {
+	if !c.knows() || now.Before(c.nextLookAt) {
 		return "", false
 	}
-	address, found := c.lost(now)
-	pause := c.tellPause/2 + time.Duration(c.chance.Int64N(int64(c.tellPause)+1))
-	c.nextTellAt = now.Add(pause)
-	if found {
-		c.contactOf(address).toldAt = now
+	c.nextLookAt = now.Add(c.jittered(tellShortest))
+	address, fresh := c.lost(now)
+	if address == "" || !fresh && now.Before(c.nextTellAt) {
+		return "", false
 	}
-	return address, found
+	c.nextTellAt = now.Add(c.jittered(c.tellPause))
+	c.contactOf(address).toldAt = now
+	return address, true
+}
+
+// jittered is a pause of half to one and a half of the given one.
+func (c *Core) jittered(pause time.Duration) time.Duration {
+	return pause/2 + time.Duration(c.chance.Int64N(int64(pause)+1))
 }
 
 // lost returns the balancer that was not heard of late and whose last try is
-// longest ago. While others are in touch with the store, a balancer seeks those
-// that should follow it, since each of the rest has one that does.
-func (c *Core) lost(now time.Time) (string, bool) {
+// longest ago, and whether it was heard since that. While others are in touch with
+// the store, a balancer seeks those that should follow it, since each of the rest
+// has one that does.
+func (c *Core) lost(now time.Time) (address string, fresh bool) {
 	if c.knownAt.IsZero() {
 		c.knownAt = now
 	}
@@ -163,7 +171,7 @@
 			search.consider(balancer.GetPeerAddress())
 		}
 	}
-	return search.address, search.address != ""
+	return search.address, search.fresh
 }
 
 // search looks for the lost balancer that was told longest ago.
@@ -174,6 +182,8 @@
 	everybody bool
 	address   string
 	toldAt    time.Time
+	// fresh is set when the one found was heard since it was told.
+	fresh bool
 	// ties is how many were told as long ago as the one found. Chance decides
 	// between them.
 	ties int
@@ -190,6 +200,7 @@
 	switch {
 	case s.address == "" || known.toldAt.Before(s.toldAt):
 		s.address, s.toldAt, s.ties = address, known.toldAt, 1
+		s.fresh = known.heardAt.After(known.toldAt)
 	case known.toldAt.Equal(s.toldAt):
 		s.ties++
 		if s.core.chance.IntN(s.ties) == 0 {
