A cut between zones removes nobody's entry

Found by reading the diff: the head that reads in the reader's place reported as silent whoever it could not follow, and the reader the heads of a zone that is cut off, though they live; after 20 s of a cut both sides would have removed each other's heads, which would have listed themselves again. Now a balancer of the same zone is missed after 20 s, by its parent or, if nobody before it can be followed, by the next in its order; one of another zone after 10 minutes.

--- a/internal/replication/members.go
+++ b/internal/replication/members.go
@@ -35,10 +35,13 @@
 	gatherEntries = 200 * time.Millisecond
 	// writePause is the pause after a failed write.
 	writePause = time.Second
-	// silentAfter is the silence after which the entry of a balancer is removed.
-	// A restart takes a few seconds; followers of a dead parent lose a call to
-	// it every PeerPause.
+	// silentAfter is the silence after which the entry of a balancer is removed
+	// that stands in the same zone. A restart takes a few seconds; followers of a
+	// dead parent lose a call to it every PeerPause.
 	silentAfter = 20 * time.Second
+	// silentElsewhere is the same for a balancer of another zone. It may be cut
+	// off from this one only, and its own zone misses it sooner if it is dead.
+	silentElsewhere = 10 * time.Minute
 	// writeOwnAfter is when a balancer that is still not listed writes its entry
 	// itself, or up to twice as late.
 	writeOwnAfter = 5 * time.Second
@@ -136,8 +139,8 @@
 	}
 }
 
-// Silent are the names of balancers that should follow this one, or one behind
-// it, and were not heard for long.
+// Silent are the names of balancers that this one, or one behind it, should hear
+// and has not heard for long.
 func (c *Core) Silent(now time.Time) []string {
 	var names []string
 	for _, b := range c.watched() {
@@ -158,25 +161,31 @@
 }
 
 // watched are the balancers that this one misses when it does not hear them:
-// those below it, and those that it acts for.
+// those below it, and if none before it in its order can be followed, those.
 func (c *Core) watched() []*apiv1.Balancer {
-	if c.acting() {
-		return slices.Concat(c.tree.below, c.tree.above)
+	before := c.tree.own()[:c.tree.place]
+	useful := func(b *apiv1.Balancer) bool { return !c.useless(b) }
+	if slices.ContainsFunc(before, useful) {
+		return c.tree.below
 	}
-	return c.tree.below
+	return slices.Concat(c.tree.below, before)
 }
 
-// silentSince tells whether a balancer was not heard for silentAfter.
+// silentSince tells whether a balancer was not heard for too long.
 func (c *Core) silentSince(b *apiv1.Balancer, now time.Time) bool {
-	if !c.knows() || c.knownAt.IsZero() || now.Sub(c.knownAt) <= silentAfter {
+	limit := silentAfter
+	if b.GetZone() != c.config.Self.GetZone() {
+		limit = silentElsewhere
+	}
+	if !c.knows() || c.knownAt.IsZero() || now.Sub(c.knownAt) <= limit {
 		return false
 	}
 	since, found := c.members.belowSince[b.GetName()]
-	if found && now.Sub(since) <= silentAfter {
+	if found && now.Sub(since) <= limit {
 		return false
 	}
 	known := c.contacts[b.GetPeerAddress()]
-	return known == nil || now.Sub(known.heardAt) > silentAfter
+	return known == nil || now.Sub(known.heardAt) > limit
 }
 
 // TakeSilent takes the names that a follower has reported.
--- a/internal/replication/standby.go
+++ b/internal/replication/standby.go
@@ -1,6 +1,11 @@
 package replication
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+)
 
 // Whoever should read the store may be dead, cut off or refused. Others stand in,
 // in a number that does not grow with the fleet: what all of them tried would
@@ -25,13 +30,15 @@
 	if len(c.tree.above) == 0 || c.tree.rank() >= standbys {
 		return false
 	}
-	for _, b := range c.tree.above {
-		known := c.contacts[b.GetPeerAddress()]
-		if known == nil || !known.useless {
-			return false
-		}
-	}
-	return true
+	useful := func(b *apiv1.Balancer) bool { return !c.useless(b) }
+	return !slices.ContainsFunc(c.tree.above, useful)
+}
+
+// useless tells whether the last call to a balancer failed, or brought stale
+// knowledge.
+func (c *Core) useless(b *apiv1.Balancer) bool {
+	known := c.contacts[b.GetPeerAddress()]
+	return known != nil && known.useless
 }
 
 // standsIn tells whether this balancer should try the store once although it
--- a/internal/replication/start.go
+++ b/internal/replication/start.go
@@ -78,8 +78,7 @@
 	if len(c.tree.above) == 0 {
 		return false
 	}
-	parent := c.contacts[c.tree.above[0].GetPeerAddress()]
-	return parent == nil || !parent.useless
+	return !c.useless(c.tree.above[0])
 }
 
 // startsAsHead tells whether this balancer has just read the store for the first
