A first start does not lean on three seeds: an old copy of the store first, and complete answers in turn

A balancer that is the only one of its zone in the list reads as its head. Tests: TestSeedsNeedNotTellEverythingToAll, TestCompleteAnswersGoOutInTurn, both red before; found by TestEverythingComesFromTheBalancerToFollow on the way: one that is alone in its zone took itself for unlisted.

--- a/internal/balancer/calls.go
+++ b/internal/balancer/calls.go
@@ -193,6 +193,32 @@
 	return len(f.findings) > 0 || f.until.After(f.takenAt) && !f.withoutChanges
 }
 
+// takesEverything tells whether the answer holds all that is known here.
+func (f *follower) takesEverything() bool { return f.after == 0 && !f.withoutChanges }
+
+// completeAnswers bounds the answers that hold all that is known. At a start of
+// everything many ask at once for what may be hundreds of kilobytes.
+type completeAnswers struct {
+	sinceAt time.Time
+	sent    int
+}
+
+const (
+	// completeLimit is how many go out within completePause: as many as follow a
+	// strong balancer.
+	completeLimit = 2 * replication.DefaultTreeWidth
+	completePause = 200 * time.Millisecond
+)
+
+// take tells whether one more may go out now.
+func (a *completeAnswers) take(now time.Time) bool {
+	if now.Sub(a.sinceAt) >= completePause {
+		a.sinceAt, a.sent = now, 0
+	}
+	a.sent++
+	return a.sent <= completeLimit
+}
+
 // hasGone tells whether nobody waits for the answer any more.
 func (f *follower) hasGone() bool {
 	select {
@@ -284,6 +310,9 @@
 	if asking.after >= c.known.Revision() && !younger && now.Before(asking.until) {
 		return false
 	}
+	if known && asking.takesEverything() && !c.complete.take(now) {
+		return false // its turn comes, or its caller gives up
+	}
 	reply := &apiv1.FollowReply{
 		Batch:              c.newsFor(asking, known),
 		AgeMilliseconds:    uint32(age.Milliseconds()) + 1,
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -54,6 +54,7 @@
 	findings  findings
 	followers chan *follower
 	waiting   []*follower
+	complete  completeAnswers
 	polling   bool
 	// write is what is being written to the store about balancers.
 	write replication.Write
--- a/internal/balancer/control_test.go
+++ b/internal/balancer/control_test.go
@@ -155,6 +155,31 @@
 	require.LessOrEqual(t, len(control.waiting), followersLimit)
 }
 
+// At a start of everything, all that is known goes out to as many at a time as a
+// link takes. The others wait, and those that ask for less do not.
+func TestCompleteAnswersGoOutInTurn(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	control.learn(&apiv1.DirectoryNews{Batch: routesBatch(5), AsOfNanoseconds: control.nanoseconds(now)}, now)
+	var asking []*follower
+	for range 3*completeLimit - 10 {
+		asking = append(asking, &follower{takenAt: now, until: now, reply: make(chan *apiv1.FollowReply, 1)})
+		control.take(asking[len(asking)-1])
+	}
+	answered := func(at time.Time) int {
+		control.answerWaiting(at)
+		return len(asking) - len(control.waiting)
+	}
+	require.Equal(t, completeLimit, answered(now))
+	require.Equal(t, completeLimit, answered(now.Add(completePause/2)))
+	require.NotNil(t, control.ask(4, now.Add(-time.Minute), now.Add(completePause/2)), "changes only")
+	require.Equal(t, 2*completeLimit, answered(now.Add(completePause)))
+	require.Equal(t, 3*completeLimit-10, answered(now.Add(2*completePause)))
+	for _, each := range asking {
+		require.Len(t, each.reply, 1)
+	}
+}
+
 func TestNewFlowsStayInTheirZoneAfterTheSpreadTime(t *testing.T) {
 	control := newTestControl()
 	now := time.Now()
--- a/internal/replication/core_test.go
+++ b/internal/replication/core_test.go
@@ -226,6 +226,7 @@
 	core := newCore(1, address(7))
 	require.Equal(t, PollMembers, core.NextPoll(after(0)))
 	core.PollStarted(PollMembers, after(0))
+	core.SetBalancers(zoneOf(20), after(10))
 	core.PollSucceeded(PollMembers, false, after(10))
 	require.Equal(t, PollNone, core.NextPoll(after(10)), "peers are asked first")
 	require.Equal(t, PollOld, core.NextPoll(after(1010)), "patience ends")
@@ -235,6 +236,19 @@
 	require.Equal(t, PollSnapshot, core.NextPoll(after(2020)), "nobody has answered")
 }
 
+// On the first day nobody is listed, and 300 balancers of which each had everything
+// from one of three seeds cost a seed 51 MB and its link.
+func TestSeedsNeedNotTellEverythingToAll(t *testing.T) {
+	core := newCore(1, address(7))
+	core.PollStarted(PollMembers, after(0))
+	core.PollSucceeded(PollMembers, false, after(10))
+	require.Equal(t, PollOld, core.NextPoll(after(10)))
+	core.PollStarted(PollOld, after(10))
+	core.PollSucceeded(PollOld, false, after(20))
+	require.Equal(t, PollNone, core.NextPoll(after(20)), "a seed is asked for what is new")
+	require.Equal(t, PollSnapshot, core.NextPoll(after(1020)), "nobody has answered")
+}
+
 func TestSeedReadsTheStoreAtOnce(t *testing.T) {
 	core := newCore(1, address(1))
 	core.PollStarted(PollMembers, after(0))
--- a/internal/replication/start.go
+++ b/internal/replication/start.go
@@ -48,6 +48,9 @@
 		return PollMembers
 	case c.readsFirst():
 		return PollSnapshot
+	case !c.start.old && c.tree.size == 1:
+		// Nobody is listed, so that all ask the seeds.
+		return PollOld
 	case now.Before(c.start.patienceUntil):
 		return PollNone
 	case !c.start.old:
@@ -57,10 +60,11 @@
 }
 
 // readsFirst tells whether this balancer should read the store at a start
-// before others tell it. Who knows nobody leaves it to the seeds.
+// before others tell it. Who knows nobody leaves it to the seeds, unless it is
+// listed, and so the only one of its zone.
 func (c *Core) readsFirst() bool {
 	if c.tree.size == 1 {
-		return c.Reader()
+		return c.Reader() || c.members.lists(c.config.Self)
 	}
 	return c.tree.place == 0 || len(c.tree.own()) <= togetherLimit
 }
