--- a/model/check.sh
+++ b/model/check.sh
@@ -63,5 +63,8 @@
 holds knowledge
 caught knowledge NO_TELLING_BACK NO_SEEKING
 
+holds members
+caught members NO_SHOW_AGAIN NO_MISSING NO_COMPARE_ENTRY
+
 if [ "$failures" != 0 ]; then echo "model check: $failures failed"; exit 1; fi
 echo "model check: all hold, all mutants caught"
