A peer that is behind tells all that it holds, not what is new

Cause: a back end's entry went at 63.55 s; edge-maadi-1 started at 64.1 s, read the store, and asked a peer for changes after that revision and for tombstones. The peer had read the store before and still took the back end for living, so it had no tombstone to tell, and nobody told edge-maadi-1 later. It dropped the flow's packets as unknown_token. Test: TestWhoIsBehindTellsAllThatItHolds, red before.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -286,8 +286,12 @@
 }
 
 // Everything returns what changed after a revision, and all tombstones besides.
-// Who has read the store lacks only those.
+// Who has read the store lacks only those. Who has read more of it than is known
+// here gets all entries: one that has gone meanwhile is not a tombstone here yet.
 func (d *Directory) Everything(after uint64) *apiv1.DirectoryBatch {
+	if after > d.revision {
+		after = 0
+	}
 	batch := d.Since(after)
 	if batch.GetComplete() {
 		return batch
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -235,6 +235,21 @@
 	require.Len(t, known.Everything(0).GetChanges(), 4)
 }
 
+// A balancer starts and reads the store just after a back end has gone. A peer that
+// has read it before still takes the back end for living, and is the only one that
+// can tell its open flows' address (soak seed 2002).
+func TestWhoIsBehindTellsAllThatItHolds(t *testing.T) {
+	peer, started := New(time.Minute), New(time.Minute)
+	peer.Apply(batch(3, true, backendChange(2, "i-1", false, false), backendChange(3, "i-2", false, false)), start)
+	started.Apply(batch(4, true, backendChange(3, "i-2", false, false)), start)
+	started.Apply(peer.Everything(started.Revision()), start)
+	found := started.Backends()
+	require.Len(t, found, 2)
+	require.True(t, found[0].Gone)
+	require.False(t, found[1].Gone)
+	require.Equal(t, uint64(4), started.Revision())
+}
+
 func TestChangesOfBalancersAreCounted(t *testing.T) {
 	known := New(time.Minute)
 	key := Key{Kind: KindBalancer, Name: "edge-1"}
