--- a/internal/replication/doc.go
+++ b/internal/replication/doc.go
@@ -2,21 +2,24 @@
 // from which other balancer.
 //
 // The store answers only so many calls a second, and every call has its price,
-// so not every balancer reads it. In each zone (in all zones together while they
-// are few), the balancers are put in an order that all of them know, by a hash
-// of their names. The first one, the reader, reads the store at a fixed pace;
-// each of the others follows one balancer before it in the order, its parent,
-// in a tree of a fixed width.
-// A follower's call waits at its parent until there is news, so a change passes
-// down the tree in a few milliseconds a level.
+// so not every balancer reads it. All of them know the same order (order.go), and
+// by it form a tree (tree.go): the head of each zone follows the head of an earlier
+// one, the others follow one before them in their zone, and the head of the first
+// zone, the reader, reads the store at a fixed pace (pace.go). A follower's call
+// waits at its parent until there is news, so a change passes down the tree in a
+// few milliseconds a level.
 //
 // Nothing rests on this order being the same everywhere. It only saves calls.
 // What counts is the age of a balancer's knowledge: the time since the store
-// confirmed it, which each answer carries along and each level adds to. When
-// the age passes a limit, for whatever reason (the reader died, is cut off from
-// the store, is throttled, or the order is out of date), a balancer reads the
-// store itself, and tries other peers, until its knowledge is young again. The
-// calls to a store that does not answer are spaced by a back-off with jitter.
+// confirmed it, which each answer carries along and each level adds to. Whoever
+// can follow nobody takes the reader's place if it is among the first of the order;
+// when the age passes a limit, those take turns, and of the others some try by lot,
+// so that the store is not called by all at once (standby.go). Who hears nobody
+// reads the store at once. The calls to a store that does not answer are spaced by
+// a back-off with jitter.
+//
+// How a balancer that knows nothing begins is in start.go, and how the store comes
+// to hold the list of balancers, without leases, in members.go.
 //
 // Knowledge outlives those who have it. A call shows what its caller knows, and
 // who is called and knows less asks the caller (Core.Called). A balancer calls
--- a/internal/settings/balancer_test.go
+++ b/internal/settings/balancer_test.go
@@ -49,6 +49,18 @@
 	require.ErrorContains(t, err, "flow_seconds")
 }
 
+// An age below 1.4 paces would be reached while nothing fails: all would read the
+// store at the same moment.
+func TestStaleAgeMustOutlastThePace(t *testing.T) {
+	_, err := LoadBalancer(writeSettings(t, goodBalancer+"poll_milliseconds: 1000\nstale_milliseconds: 1399\n"), nil)
+	for _, part := range []string{"stale_milliseconds", `"1399"`, "set it between 1400"} {
+		require.ErrorContains(t, err, part)
+	}
+	loaded, err := LoadBalancer(writeSettings(t, goodBalancer+"poll_milliseconds: 1000\nstale_milliseconds: 1400\n"), nil)
+	require.NoError(t, err)
+	require.Equal(t, uint32(1400), loaded.GetStaleMilliseconds())
+}
+
 // templateGap is a gap or the end of a section in the deploy template.
 var templateGap = regexp.MustCompile(`\{\{[^}]*\}\}`)
 
