--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -83,6 +83,8 @@
 	// large is set when the store has more than one page.
 	large        bool
 	nextSnapshot time.Time
+	// snapshotAt is when the last read of everything began.
+	snapshotAt time.Time
 	// historyLost is set when the store has forgotten the changes after what is
 	// known here.
 	historyLost bool
@@ -267,6 +269,7 @@
 	case PollChanges:
 		c.nextPoll = now.Add(c.config.Pace.Gather)
 	case PollSnapshot:
+		c.snapshotAt = now
 		half := c.config.AuditInterval / 2
 		c.nextSnapshot = now.Add(half + time.Duration(c.chance.Int64N(int64(half)+1)))
 	case PollNone, PollPage, PollCatchUp, PollMembers, PollOld:
@@ -303,10 +306,13 @@
 }
 
 // HistoryLost makes the next call a snapshot: the store no longer has the
-// changes after what is known.
+// changes after what is known. It comes at once, unless the last one was just now.
 func (c *Core) HistoryLost(now time.Time) {
 	c.historyLost = true
 	c.nextPoll = now
+	if next := c.snapshotAt.Add(c.config.Pace.Poll); next.After(now) {
+		c.nextPoll = next
+	}
 }
 
 // firstBackoff is the pause after one failed call; it doubles with each.
--- a/internal/replication/core_test.go
+++ b/internal/replication/core_test.go
@@ -266,6 +266,29 @@
 	require.Equal(t, PollSnapshot, core.NextPoll(after(1000)))
 }
 
+// A store that keeps hardly any history answers each call for changes with that. It
+// is then read whole at the usual pace, and not again and again.
+func TestStoreWithoutHistoryIsReadAtItsPace(t *testing.T) {
+	core := newCore(1, address(1))
+	snapshots := 0
+	for elapsed := 0; elapsed < 10_000; elapsed += 10 {
+		now := after(elapsed)
+		switch poll := core.NextPoll(now); poll {
+		case PollNone:
+		case PollChanges:
+			core.PollStarted(poll, now)
+			core.HistoryLost(now)
+		default:
+			snapshots++
+			core.PollStarted(poll, now)
+			core.PollSucceeded(poll, false, now)
+			core.Confirm(now)
+		}
+	}
+	require.LessOrEqual(t, snapshots, 12)
+	require.GreaterOrEqual(t, snapshots, 10)
+}
+
 func TestSmallStoreIsReadWhole(t *testing.T) {
 	core := newCore(1, address(1))
 	core.PollStarted(PollSnapshot, after(0))
