--- a/internal/replication/tree_test.go
+++ b/internal/replication/tree_test.go
@@ -107,3 +107,25 @@
 		require.Less(t, pace.Stale+standbys*pace.Turn, 2*poll, "the turns of the standbys end in time")
 	})
 }
+
+// BenchmarkTree is the cost of taking a list of balancers in which one has changed,
+// at today's largest size and at that of two years.
+func BenchmarkTree(b *testing.B) {
+	for _, size := range []int{300, 12_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			var known []*apiv1.Balancer
+			for place := range size {
+				strength := 0.5
+				if place%20 == 0 {
+					strength = 4
+				}
+				known = append(known, &apiv1.Balancer{Name: name(place), PeerAddress: address(place),
+					Zone: fmt.Sprintf("zone-%d", place%10), ProcessorCores: 0.1 * strength, LinkMegabits: 100 * strength})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				newTree(known[size/2], known, DefaultSharedOrderLimit, DefaultTreeWidth)
+			}
+		})
+	}
+}
