--- a/internal/change/writer_test.go
+++ b/internal/change/writer_test.go
@@ -44,10 +44,15 @@
 	},
 }
 
-// lossyStore drops the compare, for the red run.
+// lossyStore drops the compare, for the red run. Before it writes, it lets the
+// other operators write, which on a busy machine happens by chance only.
 type lossyStore struct{ Store }
 
+// othersWrite is long against a call on loopback.
+const othersWrite = 5 * time.Millisecond
+
 func (lossy lossyStore) CompareAndSwap(ctx context.Context, key string, expected uint64, data []byte) error {
+	time.Sleep(othersWrite)
 	value, _ := lossy.Get(ctx, key)
 	return lossy.Store.CompareAndSwap(ctx, key, value.Version, data)
 }
