--- a/internal/tokenroute/joined_fleet_test.go
+++ b/internal/tokenroute/joined_fleet_test.go
@@ -32,8 +32,8 @@
 type judge struct {
 	flows *Flows
 	board evidence.Board
-	// told and heard are the sequences up to which the parent was told and told.
-	told, heard uint64
+	// told is the sequence up to which the neighbours were told.
+	told        uint64
 	nextMessage int
 	inbox       []mail
 }
