A verdict on a back end has its line: who saw what, and for how long

The flows that were reset named their back end, but nothing told why it was judged dead, nor whether this balancer or others had seen it. Statements that a bound kept from being passed on are counted in the metrics.

--- a/internal/balancer/metrics.go
+++ b/internal/balancer/metrics.go
@@ -46,6 +46,8 @@
 		"Time since the store confirmed what is known.", nil, nil)
 	versionDescription = prometheus.NewDesc("indigobarrow_balancer_configuration_version",
 		"Version of the configuration in force.", nil, nil)
+	statementsDescription = prometheus.NewDesc("indigobarrow_balancer_statements_lost_total",
+		"Statements on back ends that were not passed on, by the bound that was reached.", []string{"bound"}, nil)
 	evacuatedDescription = prometheus.NewDesc("indigobarrow_balancer_zone_evacuated_revision",
 		"Revision of the order that evacuates a zone.", []string{"zone"}, nil)
 	readyDescription = prometheus.NewDesc("indigobarrow_balancer_ready",
@@ -74,6 +76,8 @@
 	counter(flowsDescription, traffic.flows.Retried.Load(), "retried")
 	counter(flowsDescription, traffic.flows.Missed.Load(), "not_answered")
 	counter(flowsDescription, traffic.flows.Verdicts(), "backend_dead")
+	counter(statementsDescription, traffic.heard.lost.Load()+traffic.statements.lost.Load(), "mailbox")
+	counter(statementsDescription, balancer.control.testimony.board.Refused.Load(), "a_second")
 	answered, failed := uint64(0), uint64(0)
 	for purpose := range storePurposeCount {
 		counts := &balancer.storeCalls[purpose]
--- a/internal/balancer/traffic.go
+++ b/internal/balancer/traffic.go
@@ -117,6 +117,11 @@
 // tellClients resets the flows whose back ends were judged dead, and passes on what
 // was seen.
 func (t *traffic) tellClients(table *tokenroute.Table, now time.Time) {
+	for _, verdict := range t.flows.TakeVerdicts() {
+		t.balancer.logger.Warn("Traffic: back end is judged dead.", "backend", verdict.Backend.ID,
+			"pool", verdict.Backend.Pool, "unanswered_here", verdict.Own, "unanswered_elsewhere", verdict.Told,
+			"silent_for", now.Sub(verdict.SilentSince).Round(time.Millisecond))
+	}
 	for _, abandoned := range t.flows.TakeAbandoned() {
 		t.reset(abandoned, table, now)
 	}
--- a/internal/evidence/board.go
+++ b/internal/evidence/board.go
@@ -1,6 +1,9 @@
 package evidence
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 const (
 	// kept is how long a statement is passed on. Who asks later is served by its own
@@ -40,7 +43,7 @@
 	second time.Time
 	taken  int
 	// Refused counts the statements beyond the budget.
-	Refused uint64
+	Refused atomic.Uint64
 }
 
 // Add takes a statement of this balancer, whose from is empty, or of another one. It
@@ -113,7 +116,7 @@
 		b.second, b.taken = now, 0
 	}
 	if b.taken >= budget {
-		b.Refused++
+		b.Refused.Add(1)
 		return false
 	}
 	b.taken++
--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -63,7 +63,7 @@
 		}
 	}
 	require.Equal(t, budget, passed)
-	require.Equal(t, uint64(10_000-budget), board.Refused)
+	require.Equal(t, uint64(10_000-budget), board.Refused.Load())
 	require.LessOrEqual(t, len(board.posted), 2*budget+1)
 }
 
--- a/internal/tokenroute/flows.go
+++ b/internal/tokenroute/flows.go
@@ -103,6 +103,13 @@
 // Verdicts is how often a back end was judged dead.
 func (f *Flows) Verdicts() uint64 { return f.liveness.Verdicts.Load() }
 
+// TakeVerdicts returns the back ends that were judged dead since the last call.
+func (f *Flows) TakeVerdicts() []DeathVerdict {
+	taken := f.liveness.verdicts
+	f.liveness.verdicts = nil
+	return taken
+}
+
 // TakeAbandoned returns the flows whose back end was judged dead since the last
 // call, to be reset.
 func (f *Flows) TakeAbandoned() []Abandoned {
--- a/internal/tokenroute/joined_fleet_test.go
+++ b/internal/tokenroute/joined_fleet_test.go
@@ -236,7 +236,7 @@
 	fleet := newJudges(88, 150, 50, mechanism.Set{})
 	fleet.run(7000)
 	for place := range fleet.nodes {
-		require.Zero(t, fleet.nodes[place].board.Refused)
+		require.Zero(t, fleet.nodes[place].board.Refused.Load())
 		require.Less(t, int(fleet.nodes[place].board.Latest()), 600)
 	}
 	require.NotEmpty(t, fleet.times())
--- a/internal/tokenroute/joined_test.go
+++ b/internal/tokenroute/joined_test.go
@@ -56,6 +56,11 @@
 	require.Equal(t, Refuse, flows.Decide(table, request(4, 2, 1), at(1000)).Verdict)
 	require.Equal(t, Forward, flows.Decide(table, request(2, 3, 1), at(1000)).Verdict)
 	require.Equal(t, uint64(1), flows.Verdicts())
+	verdicts := flows.TakeVerdicts()
+	require.Len(t, verdicts, 1)
+	require.Equal(t, at(100), verdicts[0].SilentSince)
+	require.Equal(t, 2, verdicts[0].Told)
+	require.Zero(t, verdicts[0].Own)
 }
 
 func TestWhatABalancerSawCountsWithWhatItIsTold(t *testing.T) {
--- a/internal/tokenroute/liveness.go
+++ b/internal/tokenroute/liveness.go
@@ -99,6 +99,16 @@
 
 func (w witness) told() bool { return !w.heardAt.IsZero() }
 
+// DeathVerdict says why it was judged dead, for the log.
+type DeathVerdict struct {
+	Backend *Backend
+	// Own and Told are how many clients' requests stayed unanswered here and at other
+	// balancers.
+	Own, Told int
+	// SilentSince is when the first of these requests was sent.
+	SilentSince time.Time
+}
+
 // Abandoned is a flow whose back end has just been judged dead.
 type Abandoned struct {
 	Key     flow.Key
@@ -138,6 +148,7 @@
 	memory    *memory
 	judged    map[uint64]*judgement
 	abandoned []Abandoned
+	verdicts  []DeathVerdict
 	// statements are what other balancers have yet to be told.
 	statements []evidence.Statement
 	// held are the back ends whose joined witnesses wait for an answer.
@@ -283,10 +294,27 @@
 	return count
 }
 
+// verdict tells what speaks against the back end.
+func (j *judgement) verdict(backend *Backend) DeathVerdict {
+	made := DeathVerdict{Backend: backend}
+	for _, each := range j.witnesses {
+		if each.told() {
+			made.Told++
+		} else {
+			made.Own++
+		}
+		if made.SilentSince.IsZero() || each.sentAt.Before(made.SilentSince) {
+			made.SilentSince = each.sentAt
+		}
+	}
+	return made
+}
+
 // condemn judges a back end dead for a while.
 func (l *Liveness) condemn(judged *judgement, backend *Backend, now time.Time) {
 	if !now.Before(judged.deadUntil) {
 		l.Verdicts.Add(1)
+		l.verdicts = append(l.verdicts, judged.verdict(backend))
 		if !l.off.Has(mechanism.IdleResets) {
 			l.abandon(backend, now)
 		}
