--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all help build demo test check unit model long bench generate lab capacity fuzz setup-model soak soak-regressions
+.PHONY: all help build demo test check unit model long bench generate lab fuzz setup-model soak soak-regressions
 
 # all builds the programs.
 all: build
@@ -66,10 +66,6 @@
 lab: build
 	./$(BIN)/indigobarrow lab run --report lab-report.html
 
-# capacity prints the costs of networks without tokens at the size of two years.
-capacity: build
-	./$(BIN)/indigobarrow capacity
-
 # generate writes the code of the schemas anew; the build does not need it.
 generate:
 	protoc -I proto --go_out=. --go_opt=module=github.com/indigobarrow/indigobarrow \
--- a/cmd/indigobarrow/main.go
+++ b/cmd/indigobarrow/main.go
@@ -46,7 +46,7 @@
 		Commands: []*cli.Command{
 			nodeCommand(), demoCommand(), configCommand(),
 			serviceCommand(), policyCommand(), drainCommand(true), drainCommand(false),
-			tokenCommand(), statusCommand(), explainCommand(), labCommand(), capacityCommand(),
+			tokenCommand(), statusCommand(), explainCommand(), labCommand(),
 		},
 	}
 }
