At a start nobody takes everything from a seed while one above may tell

Cause: TestEverythingComesFromTheBalancerToFollow failed in 7 of 100 runs, on the code before too: who starts some milliseconds before the balancer that it is to follow finds it closed, takes it for useless and fetches everything from the first seed that knows something, though the next one above is asked at the same moment. With an unlucky draw of starts 68 to 72 of 300 did, more than the bound of 64. Which draw comes depends on the order of maps before.

Ruled out: chance in the test alone (the draw is the users' too: 61, 38 and 26 in others).

Red first: TestSeedsTellNobodyWhileOneAboveMay, 36, 33 and 29 in three of eight draws; after the change at most 2 in 40 runs of the test that failed.

--- a/internal/replication/fleet_test.go
+++ b/internal/replication/fleet_test.go
@@ -442,6 +442,28 @@
 	})
 }
 
+// Many start some milliseconds before the one that they are to follow, and the call to
+// it fails. Another one above tells them then, not the seeds: in one of fifteen draws
+// up to 72 of 300 took everything from one weak seed.
+func TestSeedsTellNobodyWhileOneAboveMay(t *testing.T) {
+	for draw := range 8 {
+		t.Run(fmt.Sprint(draw), func(t *testing.T) {
+			t.Parallel()
+			f := settled(t, 300)
+			for range draw {
+				f.chance.Uint64()
+			}
+			for _, node := range f.nodes {
+				f.kill(node, time.Second+time.Duration(f.chance.IntN(50))*time.Millisecond)
+			}
+			f.count(1500 * time.Millisecond)
+			for _, seed := range f.seeds {
+				require.LessOrEqual(t, f.served[f.byPlace[seed]], 8, seed)
+			}
+		})
+	}
+}
+
 func TestDeadReaderCostsSomeCalls(t *testing.T) {
 	forSizes(t, func(t *testing.T, count int) {
 		f := settled(t, count)
--- a/internal/replication/start.go
+++ b/internal/replication/start.go
@@ -1,6 +1,11 @@
 package replication
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+)
 
 // A balancer that starts knows nothing, and often all of them start at once. It
 // reads the names of its zone's balancers, which is little. If it is the first of
@@ -70,8 +75,9 @@
 }
 
 // awaitsParent tells whether a balancer that knows nothing should soon be told
-// everything by the one to follow, or learn from the store who that is. Many start
-// at once, and all know the same few seeds.
+// everything by the one to follow or another one above, or learn from the store who
+// they are. Many start at once, and all know the same few seeds; a first call to the
+// one to follow may fail because that starts some milliseconds later.
 func (c *Core) awaitsParent(now time.Time) bool {
 	if c.knows() || !now.Before(c.start.parentUntil) {
 		return false
@@ -79,10 +85,7 @@
 	if !c.start.members {
 		return c.failures == 0
 	}
-	if len(c.tree.above) == 0 {
-		return false
-	}
-	return !c.useless(c.tree.above[0])
+	return slices.ContainsFunc(c.tree.above, func(b *apiv1.Balancer) bool { return !c.useless(b) })
 }
 
 // startsAsHead tells whether this balancer has just read the store for the first
