--- /dev/null
+++ b/internal/balancer/learn.go
@@ -0,0 +1,129 @@
+package balancer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/events"
+	"github.com/indigobarrow/indigobarrow/internal/replication"
+)
+
+func (c *control) handle(carried *message.Message) {
+	event, err := events.Decode(carried)
+	if err != nil {
+		c.balancer.logger.Error("Control: event not understood.", "error", err)
+		return
+	}
+	if news, isNews := event.Body.(*apiv1.DirectoryNews); isNews {
+		c.learn(news, time.Now())
+	}
+}
+
+// learn takes the answer of the store or of a peer.
+func (c *control) learn(news *apiv1.DirectoryNews, now time.Time) {
+	asOf := c.balancer.started.Add(time.Duration(news.GetAsOfNanoseconds()))
+	switch {
+	case news.GetCheck():
+		c.checkEnded(news, now)
+	case news.GetTestified():
+		c.testified(news, now)
+	case news.GetWrite():
+		c.writeEnded(news.GetError() != "", now)
+	case news.GetPeer() == "":
+		c.polling = false
+		c.pollEnded(news, now)
+	default:
+		c.callEnded(news, asOf, now)
+	}
+	if news.GetError() != "" {
+		c.balancer.logger.Debug("Control: call failed.", "peer", news.GetPeer(), "error", news.GetError())
+		return
+	}
+	if c.known.Apply(news.GetBatch(), now) {
+		c.rebuild = true
+		c.takeBalancers(now)
+	}
+	// A batch without a revision is a part of what the store holds, or comes
+	// from a peer that knows nothing itself. An old copy confirms nothing.
+	old := news.GetPeer() == "" && replication.Poll(news.GetPoll()) == replication.PollOld
+	if news.GetBatch().GetRevision() > 0 && !old {
+		c.core.Confirm(asOf)
+		c.balancer.confirmedAt.Store(int64(c.core.ConfirmedAt().Sub(c.balancer.started)))
+	}
+}
+
+// takeBalancers takes the balancers that the directory lists, if they have changed.
+func (c *control) takeBalancers(now time.Time) {
+	if c.known.BalancerChanges() == c.balancersSeen {
+		return
+	}
+	c.balancersSeen = c.known.BalancerChanges()
+	balancers := c.known.Balancers()
+	c.core.SetBalancers(balancers, now)
+	c.observed.balancers = c.balancersInZone(balancers)
+}
+
+// balancersInZone counts the balancers of this zone, this one included.
+func (c *control) balancersInZone(known []*apiv1.Balancer) int {
+	settings := c.balancer.settings.Load()
+	count := 1
+	for _, balancer := range known {
+		if balancer.GetZone() == settings.GetZone() && balancer.GetName() != settings.GetName() {
+			count++
+		}
+	}
+	return count
+}
+
+func (c *control) pollEnded(news *apiv1.DirectoryNews, now time.Time) {
+	switch {
+	case news.GetHistoryLost():
+		c.core.HistoryLost(now)
+	case news.GetError() != "":
+		c.core.PollFailed(now)
+	default:
+		c.core.PollSucceeded(replication.Poll(news.GetPoll()), news.GetBatch().GetOnePage(), now)
+	}
+}
+
+// checkEnded takes a read of what operators have written. The table of routes in it
+// may be taken as it is; other orders than are known mean that a change was missed,
+// and the store is read whole.
+func (c *control) checkEnded(news *apiv1.DirectoryNews, now time.Time) {
+	batch := news.GetBatch()
+	if c.known.Contradicts(batch) {
+		c.balancer.logger.Info("Control: orders have changed unseen, the store is read whole.",
+			"revision", batch.GetOrdersRevision())
+		c.core.HistoryLost(now)
+	}
+	if batch != nil {
+		batch.Changes = slices.DeleteFunc(batch.GetChanges(), func(change *apiv1.DirectoryChange) bool {
+			return change.GetRoutes() == nil
+		})
+	}
+}
+
+func (c *control) callEnded(news *apiv1.DirectoryNews, asOf, now time.Time) {
+	peer := replication.Peer{
+		Address:    news.GetPeer(),
+		Purpose:    replication.Purpose(news.GetPurpose()),
+		Everything: news.GetEverything(),
+
+		RevisionOnly: news.GetRevisionOnly(),
+	}
+	if news.GetError() != "" {
+		c.core.PeerFailed(peer, now)
+		return
+	}
+	c.core.PeerAnswered(peer, asOf, now)
+	c.core.Learned(news.GetCallers())
+	if peer.Purpose == replication.PurposeFollow && c.core.SharesOrder(peer.Address) {
+		c.findings.takeParent(news.GetFindings(), now)
+	}
+	if peer.Purpose == replication.PurposeFollow {
+		c.heardParent(news, now)
+	}
+}
--- /dev/null
+++ b/internal/balancer/renew.go
@@ -0,0 +1,124 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/mechanism"
+	"github.com/indigobarrow/indigobarrow/internal/tokenroute"
+)
+
+// renewTable builds the table that packets are decided by.
+func (c *control) renewTable(now time.Time) {
+	c.rebuild = false
+	c.nextTurn = time.Time{}
+	if _, knows := c.core.Age(now); !knows {
+		// A part of the store, or an old copy, is no ground to refuse flows on.
+		return
+	}
+	c.rememberPools(now)
+	evacuated := c.evacuated()
+	table := tokenroute.NewTable(c.known, tokenroute.Options{
+		Weigh:      c.weigher(evacuated, now),
+		Evacuated:  evacuated,
+		Warm:       c.newWarming(now).of,
+		Former:     c.formerPools(now),
+		AdmitAll:   now.Sub(c.firstAt) < c.flowLife(),
+		Lapse:      c.lapse(),
+		EmptyGrace: c.emptyGrace(),
+		Now:        now,
+	})
+	if table == nil {
+		return
+	}
+	c.scheduleTurn(now)
+	previous := c.balancer.table.Swap(table)
+	if previous == nil || previous.Version != table.Version {
+		c.balancer.logger.Info("Control: configuration in force.", "version", table.Version,
+			"revision", table.Revision, "routes", table.Routes())
+	}
+	if previous == nil {
+		previous = &tokenroute.Table{}
+	}
+	c.tellEvacuations(previous.Evacuated, table.Evacuated)
+}
+
+func (c *control) emptyGrace() time.Duration {
+	drain := c.balancer.settings.Load().GetDrainMilliseconds()
+	return time.Duration(drain/emptyShare) * time.Millisecond
+}
+
+// lapse is the time in which entries that lapsed in the last outage of the
+// store may come back.
+func (c *control) lapse() tokenroute.Lapse {
+	returned := c.core.ReturnedAt()
+	if returned.IsZero() || c.balancer.off.Has(mechanism.LapseGrace) {
+		return tokenroute.Lapse{}
+	}
+	length := time.Duration(c.balancer.settings.Load().GetLapseMilliseconds()) * time.Millisecond
+	return tokenroute.Lapse{Since: returned, Until: returned.Add(length)}
+}
+
+func (c *control) flowLife() time.Duration {
+	return seconds(c.balancer.settings.Load().GetFlowSeconds())
+}
+
+// seconds turns a number of seconds into a duration.
+func seconds(number float64) time.Duration {
+	return time.Duration(number * float64(time.Second))
+}
+
+// scheduleTurn sets when the table changes without news: new flows return to
+// their zone, lapsed entries have had their time, or a vanished pool has.
+func (c *control) scheduleTurn(now time.Time) {
+	c.nextTurn = time.Time{}
+	c.turnAt(c.firstAt.Add(spreadTime), now)
+	c.turnAt(c.lapse().Until, now)
+	for _, backend := range c.known.Backends() {
+		if backend.Gone {
+			c.turnAt(backend.VanishedAt.Add(c.emptyGrace()), now)
+		}
+	}
+}
+
+// turnAt brings the next turn forward to a time that is still to come.
+func (c *control) turnAt(at, now time.Time) {
+	if now.Before(at) && (c.nextTurn.IsZero() || at.Before(c.nextTurn)) {
+		c.nextTurn = at
+	}
+}
+
+// rememberPools notes the pools of each address, whose open flows stay on them
+// when a later configuration names others.
+func (c *control) rememberPools(now time.Time) {
+	if c.known.Routes() != nil && c.firstAt.IsZero() {
+		c.firstAt = now
+	}
+	for _, route := range c.known.Routes().GetRoutes() {
+		address := tokenroute.AddressOf(route)
+		pools := c.former[address]
+		if pools == nil {
+			pools = make(map[string]time.Time)
+			c.former[address] = pools
+		}
+		for _, share := range route.GetPools() {
+			pools[share.GetPool()] = now
+		}
+	}
+}
+
+func (c *control) formerPools(now time.Time) map[flow.Address]map[string]bool {
+	found := make(map[flow.Address]map[string]bool, len(c.former))
+	for address, pools := range c.former {
+		kept := make(map[string]bool, len(pools))
+		for pool, lastAt := range pools {
+			if now.Sub(lastAt) > c.flowLife() {
+				delete(pools, pool)
+				continue
+			}
+			kept[pool] = true
+		}
+		found[address] = kept
+	}
+	return found
+}
--- a/internal/tokenroute/liveness.go
+++ b/internal/tokenroute/liveness.go
@@ -71,44 +71,6 @@
 // than the one before.
 const longestAnswer = 1 << 30
 
-// judgement is what speaks for and against a back end.
-type judgement struct {
-	// provenAt is the latest time at which the back end is known to have sent
-	// something.
-	provenAt time.Time
-	// promptAt is when the latest request was sent that was answered without a
-	// repetition, and troubledAt when a request was last repeated.
-	promptAt, troubledAt time.Time
-	// witnesses are the clients whose requests stayed unanswered.
-	witnesses map[clientAddress]witness
-	// deadUntil is when the verdict ends unless there is another witness.
-	deadUntil time.Time
-}
-
-// witness is a client whose request stayed unanswered.
-type witness struct {
-	// sentAt is when the request was first sent.
-	sentAt time.Time
-	// prompt is set when other back ends had answered meanwhile, so that it was not
-	// the balancer's own link. What another balancer tells is so.
-	prompt bool
-	// heardAt is when another balancer first told of the witness; zero for those
-	// that passed here.
-	heardAt time.Time
-}
-
-func (w witness) told() bool { return !w.heardAt.IsZero() }
-
-// DeathVerdict says why it was judged dead, for the log.
-type DeathVerdict struct {
-	Backend *Backend
-	// Own and Told are how many clients' requests stayed unanswered here and at other
-	// balancers.
-	Own, Told int
-	// SilentSince is when the first of these requests was sent.
-	SilentSince time.Time
-}
-
 // Abandoned is a flow whose back end has just been judged dead.
 type Abandoned struct {
 	Key     flow.Key
@@ -283,33 +245,6 @@
 	l.weigh(judged, backend, now)
 }
 
-// own is how many clients speak against the back end whose requests passed here.
-func (j *judgement) own() int {
-	count := 0
-	for _, each := range j.witnesses {
-		if !each.told() {
-			count++
-		}
-	}
-	return count
-}
-
-// verdict tells what speaks against the back end.
-func (j *judgement) verdict(backend *Backend) DeathVerdict {
-	made := DeathVerdict{Backend: backend}
-	for _, each := range j.witnesses {
-		if each.told() {
-			made.Told++
-		} else {
-			made.Own++
-		}
-		if made.SilentSince.IsZero() || each.sentAt.Before(made.SilentSince) {
-			made.SilentSince = each.sentAt
-		}
-	}
-	return made
-}
-
 // condemn judges a back end dead for a while.
 func (l *Liveness) condemn(judged *judgement, backend *Backend, now time.Time) {
 	if !now.Before(judged.deadUntil) {
@@ -402,17 +337,6 @@
 	}
 }
 
-// latest is when anything was last learned of the back end.
-func (j *judgement) latest() time.Time {
-	latest := j.provenAt
-	for _, at := range []time.Time{j.promptAt, j.troubledAt} {
-		if at.After(latest) {
-			latest = at
-		}
-	}
-	return latest
-}
-
 // witnessTime is how long an unanswered request speaks against a back end.
 const witnessTime = time.Minute
 
