Connections that go silent for good are given up within bounds, and news comes on new ones

Cause: nothing but time shows a connection that went silent. A call that waits at a peer took 2 s to give up and then passed the peer over for 2 s; reading all pages of the store was bounded by 10 s alone, while nothing else is read; the call after a failed one could meet the next silent connection of the pool; what a silent follower held at its parent stayed for good, as did resting connections of routers and collectors.

Ruled out: keep-alive probes (the other end may take bytes and forget them), a second call while the first waits (twice the priced calls whenever the store is slow), no pool (the bound of the call under way stays).

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -159,10 +159,24 @@
 	return group.Wait()
 }
 
-const headerTimeout = 5 * time.Second
+const (
+	// headerTimeout is how long a question to the readiness or metrics server may
+	// take to arrive, and writeTimeout how long its answer to leave.
+	headerTimeout = 5 * time.Second
+	writeTimeout  = 10 * time.Second
+	// restTimeout is for how long the connection of one that asks may rest. Routers
+	// ask each half second and collectors of metrics each minute at most; one that
+	// has gone silent must not stay for good.
+	restTimeout = 90 * time.Second
+)
+
+// newServer makes a server whose connections are given up when they fall silent.
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, WriteTimeout: writeTimeout, IdleTimeout: restTimeout}
+}
 
 func (b *Balancer) serveReadiness(ctx context.Context) error {
-	server := &http.Server{Handler: b.outside.Readiness(b.Ready), ReadHeaderTimeout: headerTimeout}
+	server := newServer(b.outside.Readiness(b.Ready))
 	go func() {
 		<-ctx.Done()
 		_ = server.Close()
--- a/internal/balancer/calls.go
+++ b/internal/balancer/calls.go
@@ -18,8 +18,6 @@
 	storeTimeout = time.Second
 	// snapshotTimeout bounds the reading of all pages of a large store.
 	snapshotTimeout = 10 * time.Second
-	// followWait is how long a call to a peer waits for news.
-	followWait = 1500 * time.Millisecond
 )
 
 // poll reads the store once.
@@ -103,7 +101,7 @@
 	}
 	request.Everything = peer.Everything
 	if peer.Waits() {
-		request.WaitMilliseconds = uint32(followWait.Milliseconds())
+		request.WaitMilliseconds = uint32(replication.FollowWait.Milliseconds())
 	}
 	request.WithoutChanges = peer.RevisionOnly
 	if peer.Purpose == replication.PurposeFollow {
--- a/internal/balancer/findings.go
+++ b/internal/balancer/findings.go
@@ -7,12 +7,13 @@
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/observe"
+	"github.com/indigobarrow/indigobarrow/internal/replication"
 )
 
 const (
 	// reportFor is for how long findings of another balancer count. Followers call
-	// again within followWait.
-	reportFor = 2*followWait + time.Second
+	// again within replication.FollowWait.
+	reportFor = 2*replication.FollowWait + time.Second
 	// findingsLimit bounds the findings in one message.
 	findingsLimit = 32
 )
--- a/internal/balancer/metrics.go
+++ b/internal/balancer/metrics.go
@@ -46,6 +46,8 @@
 		"Calls to the store by purpose.", []string{"purpose"}, nil)
 	ageDescription = prometheus.NewDesc("indigobarrow_balancer_knowledge_age_seconds",
 		"Time since the store confirmed what is known.", nil, nil)
+	silentDescription = prometheus.NewDesc("indigobarrow_balancer_silent_connections_total",
+		"Connections to other balancers that were given up since they had gone silent.", nil, nil)
 	versionDescription = prometheus.NewDesc("indigobarrow_balancer_configuration_version",
 		"Version of the configuration in force.", nil, nil)
 	statementsDescription = prometheus.NewDesc("indigobarrow_balancer_statements_lost_total",
@@ -93,6 +95,7 @@
 	counter(callsDescription, failed, "store", "failed")
 	counter(callsDescription, balancer.peerCalls.answered.Load(), "peer", "answered")
 	counter(callsDescription, balancer.peerCalls.failed.Load(), "peer", "failed")
+	counter(silentDescription, balancer.control.client.GivenUp.Load()+balancer.control.testimony.client.GivenUp.Load())
 	if confirmed := balancer.confirmedAt.Load(); confirmed > 0 {
 		gauge(ageDescription, (time.Since(balancer.started) - time.Duration(confirmed)).Seconds())
 	}
@@ -119,7 +122,8 @@
 	registry.MustRegister(&collector{balancer: b})
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
-	server := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: headerTimeout}
+	server := newServer(mux)
+	server.Addr = address
 	go func() {
 		<-ctx.Done()
 		_ = server.Close()
--- /dev/null
+++ b/internal/balancer/silent_test.go
@@ -0,0 +1,141 @@
+package balancer_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/indigobarrow/indigobarrow/internal/balancer"
+	"github.com/indigobarrow/indigobarrow/internal/settings"
+	"github.com/indigobarrow/indigobarrow/internal/standin/metadata"
+	"github.com/indigobarrow/indigobarrow/internal/standin/swallow"
+	"github.com/indigobarrow/indigobarrow/platform"
+)
+
+// silentSite is a store and balancers, with all connections to both through proxies.
+type silentSite struct {
+	t       *testing.T
+	store   *metadata.Server
+	storeAt string
+}
+
+// member is a balancer of the site, the path on which it reaches the store, and
+// that on which others reach it.
+type member struct {
+	*balancer.Balancer
+	address     string
+	store, peer *swallow.Proxy
+}
+
+func newSilentSite(t *testing.T) *silentSite {
+	store := metadata.New(2)
+	listening := httptest.NewServer(store.Handler())
+	t.Cleanup(func() {
+		listening.CloseClientConnections()
+		listening.Close()
+	})
+	made := &silentSite{t: t, store: store, storeAt: strings.TrimPrefix(listening.URL, "http://")}
+	made.configure(1)
+	for number := range 5 {
+		store.Put(fmt.Sprintf("servers/i-%d", number+1),
+			[]byte(`{"backend_pool":"one","addr":"10.128.0.9:8080","zone":"maadi","state":"ready","capacity":2}`))
+	}
+	return made
+}
+
+func (s *silentSite) configure(version int) {
+	s.store.Put("op/config", fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/443/",
+		"backend_pool":"one"}],"pools":[{"name":"one"}],"limits":{}}`, version))
+}
+
+// freeAddress is an address on which nobody listens.
+func (s *silentSite) freeAddress() string {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// start starts a balancer that uses a part of a core.
+func (s *silentSite) start(name string, cores float64, seeds ...string) *member {
+	storePath, err := swallow.Start(s.storeAt)
+	require.NoError(s.t, err)
+	loaded := settings.BalancerDefaults()
+	loaded.Name, loaded.Zone, loaded.ProcessorCores, loaded.LinkMegabits = name, "maadi", cores, 1000*cores
+	loaded.PollMilliseconds, loaded.StaleMilliseconds = 1000, 1400
+	loaded.DataAddress, loaded.ReadinessAddress = "127.0.0.1:0", "127.0.0.1:0"
+	loaded.PeerAddress = s.freeAddress()
+	loaded.StoreAddress = storePath.Address()
+	loaded.Seeds = append(seeds, loaded.PeerAddress)
+	made, err := balancer.New(loaded, balancer.Outside{
+		Codec:     platform.Codec{},
+		Store:     platform.NewStore(loaded.StoreAddress, func(error) {}),
+		Readiness: platform.ReadinessHandler,
+	}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	require.NoError(s.t, err)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	made.AnswerPeersAt(listener)
+	peerPath, err := swallow.StartAt(loaded.PeerAddress, listener.Addr().String())
+	require.NoError(s.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- made.Run(ctx) }()
+	s.t.Cleanup(func() {
+		storePath.Close()
+		peerPath.Close()
+		cancel()
+		require.NoError(s.t, <-done)
+	})
+	return &member{Balancer: made, address: loaded.PeerAddress, store: storePath, peer: peerPath}
+}
+
+func (s *silentSite) eventually(made *member, version uint64, limit time.Duration) {
+	require.Eventually(s.t, func() bool { return made.Version() == version }, limit, 10*time.Millisecond)
+}
+
+// Connections go silent at one moment, those of both balancers or only those of the
+// one that follows, and the operator changes the configuration at that moment. The
+// bound is that for news, 2 s.
+func TestNewsWithinTwoSecondsAfterAllConnectionsGoSilent(t *testing.T) {
+	for name, silence := range map[string]func(reader, follower *member){
+		"all": func(reader, follower *member) {
+			reader.store.Silence()
+			reader.peer.Silence()
+			follower.store.Silence()
+			follower.peer.Silence()
+		},
+		"follower": func(reader, follower *member) {
+			follower.store.Silence()
+			reader.peer.Silence()
+		},
+	} {
+		for _, rest := range []time.Duration{0, 150 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s after %v", name, rest), func(t *testing.T) {
+				t.Parallel()
+				site := newSilentSite(t)
+				reader := site.start("edge-1", 1)
+				follower := site.start("edge-2", 0.1, reader.address)
+				site.eventually(reader, 1, 5*time.Second)
+				site.eventually(follower, 1, 5*time.Second)
+				time.Sleep(2*time.Second + rest)
+				silence(reader, follower)
+				site.configure(2)
+				began := time.Now()
+				site.eventually(reader, 2, 4*time.Second)
+				atReader := time.Since(began)
+				site.eventually(follower, 2, 4*time.Second)
+				t.Logf("reader after %v, follower after %v", atReader, time.Since(began))
+				require.Less(t, time.Since(began), 2*time.Second)
+			})
+		}
+	}
+}
--- a/internal/replication/peers.go
+++ b/internal/replication/peers.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,14 +28,16 @@
 	if err := apiv1.DRPCRegisterDirectory(mux, handler); err != nil {
 		return errors.Wrap(err, "peers: register")
 	}
-	err := drpcserver.New(mux).Serve(ctx, listener)
+	err := drpcserver.New(mux).Serve(ctx, boundedListener{listener})
 	if ctx.Err() != nil {
 		return nil
 	}
 	return errors.Wrap(err, "peers: serve")
 }
 
-// The limits of a call.
+// The limits of a call. A connection that has gone silent is given up after what the
+// call waits and the time for an answer, 1.5 s, and news comes on a new one within
+// 2 s, which leaves a second of the least time for changes.
 const (
 	// dialTimeout bounds the making of a connection, and startDialTimeout that of a
 	// balancer that knows nothing and has others to ask: its clients wait meanwhile, and
@@ -44,6 +47,10 @@
 	startDialTimeout = 80 * time.Millisecond
 	// answerTimeout is what a call may take beyond the time it asks to wait.
 	answerTimeout = 500 * time.Millisecond
+	// FollowWait is how long a call to a peer waits for news. While the store
+	// answers there is some twice a second, so the wait ends calls in its outages
+	// only.
+	FollowWait = time.Second
 )
 
 // Client calls one other balancer at a time and keeps the connection to it.
@@ -54,62 +61,112 @@
 	mutex      sync.Mutex
 	address    string
 	connection *drpcconn.Conn
+	// used is set once the connection has brought an answer.
+	used bool
+	// GivenUp counts connections that went silent.
+	GivenUp atomic.Uint64
 }
 
 // NewClient makes a client without a connection.
 func NewClient(logger *slog.Logger) *Client { return &Client{logger: logger, DialTime: dialTimeout} }
 
 // Follow calls the balancer at an address. A call that fails or takes too long
-// closes the connection.
+// closes the connection. One that took too long on a connection that had brought
+// answers before is made once more on a new one, without a wait: what it tells is
+// the state of this balancer, and may be told twice.
 func (c *Client) Follow(ctx context.Context, address string, request *apiv1.FollowRequest) (*apiv1.FollowReply, error) {
-	connection, err := c.connect(ctx, address)
-	if err != nil {
-		return nil, err
+	request.TakesPacked = true
+	var reply *apiv1.FollowReply
+	call := func(ctx context.Context, directory apiv1.DRPCDirectoryClient) (err error) {
+		if reply, err = directory.Follow(ctx, request); err != nil {
+			return err
+		}
+		return Unpack(reply.GetBatch())
 	}
 	wait := time.Duration(request.GetWaitMilliseconds()) * time.Millisecond
-	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
-	defer cancel()
-	request.TakesPacked = true
-	reply, err := apiv1.NewDRPCDirectoryClient(connection).Follow(ctx, request)
-	if err == nil {
-		err = Unpack(reply.GetBatch())
+	silent, err := c.try(ctx, address, wait+answerTimeout, call)
+	if silent {
+		request.WaitMilliseconds = 0
+		_, err = c.try(ctx, address, answerTimeout, call)
 	}
 	if err != nil {
-		c.Close()
 		return nil, errors.Wrapf(err, "peer %s: follow", address)
 	}
 	return reply, nil
 }
 
-// Testify tells the balancer at an address what was seen of back ends.
+// Testify tells the balancer at an address what was seen of back ends. Statements
+// that were told before are not new to it, so a call whose answer never came is
+// made once more, as with Follow.
 func (c *Client) Testify(ctx context.Context, address string, request *apiv1.TestifyRequest) error {
-	connection, err := c.connect(ctx, address)
-	if err != nil {
+	call := func(ctx context.Context, directory apiv1.DRPCDirectoryClient) error {
+		_, err := directory.Testify(ctx, request)
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	silent, err := c.try(ctx, address, answerTimeout, call)
+	if silent {
+		_, err = c.try(ctx, address, answerTimeout, call)
+	}
+	return errors.Wrapf(err, "peer %s: testify", address)
+}
+
+// try makes a call once, within a limit, and closes the connection if it fails. It
+// tells whether the connection may have gone silent: it had brought answers before,
+// and now none in time.
+func (c *Client) try(ctx context.Context, address string, limit time.Duration,
+	call func(context.Context, apiv1.DRPCDirectoryClient) error) (silent bool, err error) {
+	connection, used, err := c.connect(ctx, address)
+	if err != nil {
+		return false, err
+	}
+	bounded, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	if _, err := apiv1.NewDRPCDirectoryClient(connection).Testify(ctx, request); err != nil {
-		c.Close()
-		return errors.Wrapf(err, "peer %s: testify", address)
+	err = call(bounded, apiv1.NewDRPCDirectoryClient(connection))
+	if err == nil {
+		c.setUsed()
+		return false, nil
+	}
+	c.Close()
+	silent = used && ctx.Err() == nil && errors.Is(bounded.Err(), context.DeadlineExceeded)
+	if silent {
+		c.GivenUp.Add(1)
+		c.logger.Info("Peers: connection is silent, a new one is tried.", "peer", address, "after", limit)
 	}
-	return nil
+	return silent, err
 }
 
-func (c *Client) connect(ctx context.Context, address string) (*drpcconn.Conn, error) {
+// connect returns the connection to a balancer, and whether it brought an answer
+// before.
+func (c *Client) connect(ctx context.Context, address string) (*drpcconn.Conn, bool, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.connection != nil && c.address == address {
-		return c.connection, nil
+	if c.connection != nil && c.address == address && !hasEnded(c.connection) {
+		return c.connection, c.used, nil
 	}
 	c.closeLocked()
 	dialer := &net.Dialer{Timeout: c.DialTime}
 	socket, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
-		return nil, errors.Wrapf(err, "peer %s: dial", address)
+		return nil, false, errors.Wrapf(err, "peer %s: dial", address)
+	}
+	c.address, c.connection, c.used = address, drpcconn.New(socket), false
+	return c.connection, false, nil
+}
+
+// hasEnded tells whether the other side has closed a connection meanwhile.
+func hasEnded(connection *drpcconn.Conn) bool {
+	select {
+	case <-connection.Closed():
+		return true
+	default:
+		return false
 	}
-	c.address, c.connection = address, drpcconn.New(socket)
-	return c.connection, nil
+}
+
+func (c *Client) setUsed() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.used = true
 }
 
 // Close closes the connection; the next call opens one.
--- /dev/null
+++ b/internal/standin/swallow/swallow.go
@@ -0,0 +1,118 @@
+// Package swallow is a stand-in for a network that loses connections without a
+// word: a TCP proxy whose open connections can be made silent for good, while new
+// ones work. What is sent on a silent connection is taken and forgotten, and no
+// end of it is told to either side.
+//
+// # Usage
+//
+//	proxy, err := swallow.Start("127.0.0.1:8169")
+//	defer proxy.Close()
+//	dial(proxy.Address())
+//	proxy.Silence()
+package swallow
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// Proxy forwards TCP connections to one address.
+type Proxy struct {
+	listener net.Listener
+	target   string
+	mutex    sync.Mutex
+	open     []*pair
+}
+
+// pair is a forwarded connection: that of the caller and that to the target.
+type pair struct {
+	caller, target net.Conn
+	silent         atomic.Bool
+}
+
+// Start forwards from a free port of 127.0.0.1 to a target.
+func Start(target string) (*Proxy, error) { return StartAt("127.0.0.1:0", target) }
+
+// StartAt forwards from an address to a target.
+func StartAt(address, target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	made := &Proxy{listener: listener, target: target}
+	go made.accept()
+	return made, nil
+}
+
+// Address is where the proxy takes connections.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Accepted is how many connections were ever taken.
+func (p *Proxy) Accepted() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.open)
+}
+
+// Silence makes all connections silent that are open now.
+func (p *Proxy) Silence() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, each := range p.open {
+		each.silent.Store(true)
+	}
+}
+
+// Close ends the proxy and all its connections.
+func (p *Proxy) Close() {
+	_ = p.listener.Close()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, each := range p.open {
+		_ = each.caller.Close()
+		_ = each.target.Close()
+	}
+}
+
+func (p *Proxy) accept() {
+	for {
+		caller, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		target, err := net.Dial("tcp4", p.target)
+		if err != nil {
+			_ = caller.Close()
+			continue
+		}
+		made := &pair{caller: caller, target: target}
+		p.mutex.Lock()
+		p.open = append(p.open, made)
+		p.mutex.Unlock()
+		go made.forward(caller, target)
+		go made.forward(target, caller)
+	}
+}
+
+// forward copies one direction. What a silent connection brings is read and
+// dropped, and its end is not passed on.
+func (p *pair) forward(from io.Reader, to net.Conn) {
+	buffer := make([]byte, 32<<10)
+	for {
+		size, err := from.Read(buffer)
+		switch {
+		case p.silent.Load() && err != nil:
+			return
+		case p.silent.Load():
+			continue
+		case err != nil:
+			_ = to.Close()
+			return
+		}
+		if _, err := to.Write(buffer[:size]); err != nil {
+			return
+		}
+	}
+}
