Tests of silent connections take no port a second time; swallow closes what comes while it closes

freeAddress closed a port and took it again, which another process may take between. The balancer listens where it likes, and is told the proxy's address as its own instead.

--- a/internal/balancer/export_test.go
+++ b/internal/balancer/export_test.go
@@ -1,12 +1,19 @@
 package balancer
 
-import "net"
+import (
+	"math/rand/v2"
+	"net"
+)
 
-// AnswerPeersAt takes the calls of other balancers at another address than the one
-// that they are told, which is free afterwards.
-func (b *Balancer) AnswerPeersAt(listener net.Listener) {
-	_ = b.peers.Close()
-	b.peers = listener
+// TakesPeersAt is where calls of other balancers are taken.
+func (b *Balancer) TakesPeersAt() net.Addr { return b.peers.Addr() }
+
+// TellPeerAddress changes where others are told to call, before Run.
+func (b *Balancer) TellPeerAddress(address string) {
+	settings := b.settings.Load()
+	settings.PeerAddress = address
+	settings.Seeds = append(settings.Seeds, address)
+	b.control = newControl(b, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 }
 
 // Version is the version of the configuration in force; 0 is none.
--- a/internal/balancer/silent_test.go
+++ b/internal/balancer/silent_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -56,14 +55,6 @@
 		"backend_pool":"one"}],"pools":[{"name":"one"}],"limits":{}}`, version))
 }
 
-// freeAddress is an address on which nobody listens.
-func (s *silentSite) freeAddress() string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(s.t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 // start starts a balancer that uses a part of a core.
 func (s *silentSite) start(name string, cores float64, seeds ...string) *member {
 	storePath, err := swallow.Start(s.storeAt)
@@ -71,21 +62,18 @@
 	loaded := settings.BalancerDefaults()
 	loaded.Name, loaded.Zone, loaded.ProcessorCores, loaded.LinkMegabits = name, "maadi", cores, 1000*cores
 	loaded.PollMilliseconds, loaded.StaleMilliseconds = 1000, 1400
-	loaded.DataAddress, loaded.ReadinessAddress = "127.0.0.1:0", "127.0.0.1:0"
-	loaded.PeerAddress = s.freeAddress()
+	loaded.DataAddress, loaded.ReadinessAddress, loaded.PeerAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	loaded.StoreAddress = storePath.Address()
-	loaded.Seeds = append(seeds, loaded.PeerAddress)
+	loaded.Seeds = seeds
 	made, err := balancer.New(loaded, balancer.Outside{
 		Codec:     platform.Codec{},
 		Store:     platform.NewStore(loaded.StoreAddress, func(error) {}),
 		Readiness: platform.ReadinessHandler,
 	}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	require.NoError(s.t, err)
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(s.t, err)
-	made.AnswerPeersAt(listener)
-	peerPath, err := swallow.StartAt(loaded.PeerAddress, listener.Addr().String())
+	peerPath, err := swallow.Start(made.TakesPeersAt().String())
 	require.NoError(s.t, err)
+	made.TellPeerAddress(peerPath.Address())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- made.Run(ctx) }()
@@ -95,7 +83,7 @@
 		cancel()
 		require.NoError(s.t, <-done)
 	})
-	return &member{Balancer: made, address: loaded.PeerAddress, store: storePath, peer: peerPath}
+	return &member{Balancer: made, address: peerPath.Address(), store: storePath, peer: peerPath}
 }
 
 func (s *silentSite) eventually(made *member, version uint64, limit time.Duration) {
--- a/internal/standin/swallow/swallow.go
+++ b/internal/standin/swallow/swallow.go
@@ -24,6 +24,7 @@
 	target   string
 	mutex    sync.Mutex
 	open     []*pair
+	closed   bool
 }
 
 // pair is a forwarded connection: that of the caller and that to the target.
@@ -33,11 +34,8 @@
 }
 
 // Start forwards from a free port of 127.0.0.1 to a target.
-func Start(target string) (*Proxy, error) { return StartAt("127.0.0.1:0", target) }
-
-// StartAt forwards from an address to a target.
-func StartAt(address, target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp4", address)
+func Start(target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -70,10 +68,26 @@
 	_ = p.listener.Close()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.closed = true
 	for _, each := range p.open {
-		_ = each.caller.Close()
-		_ = each.target.Close()
+		each.close()
+	}
+}
+
+func (p *pair) close() {
+	_ = p.caller.Close()
+	_ = p.target.Close()
+}
+
+// add takes a connection, unless the proxy was closed meanwhile.
+func (p *Proxy) add(made *pair) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.closed {
+		made.close()
+		return
 	}
+	p.open = append(p.open, made)
 }
 
 func (p *Proxy) accept() {
@@ -88,9 +102,7 @@
 			continue
 		}
 		made := &pair{caller: caller, target: target}
-		p.mutex.Lock()
-		p.open = append(p.open, made)
-		p.mutex.Unlock()
+		p.add(made)
 		go made.forward(caller, target)
 		go made.forward(target, caller)
 	}
