A peer's answer to the second of two calls is as young as it says; dial and answer share its limit

Cause: the age was counted from before the first call, so the answer over the new connection seemed 1.5 s older, the peer stale, and it was passed over for 2 s. Follow returns when the answered call left, and leaves the caller's request as it was. The dial of the second call was outside its limit (worst case 2.3 s).

--- a/internal/balancer/calls.go
+++ b/internal/balancer/calls.go
@@ -125,11 +125,10 @@
 // its age before the answer left, and the answer left no earlier than the call
 // did plus the time that it waited there.
 func (c *control) call(ctx context.Context, client *replication.Client, peer replication.Peer, request *apiv1.FollowRequest) {
-	sent := time.Now()
 	if client != c.client {
 		defer client.Close()
 	}
-	reply, err := client.Follow(ctx, peer.Address, request)
+	reply, sent, err := client.Follow(ctx, peer.Address, request)
 	c.balancer.peerCalls.count(err)
 	left := sent.Add(time.Duration(reply.GetWaitedMilliseconds()) * time.Millisecond)
 	asOf := left.Add(-time.Duration(reply.GetAgeMilliseconds()) * time.Millisecond)
--- a/internal/replication/peers.go
+++ b/internal/replication/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -73,11 +74,14 @@
 // Follow calls the balancer at an address. A call that fails or takes too long
 // closes the connection. One that took too long on a connection that had brought
 // answers before is made once more on a new one, without a wait: what it tells is
-// the state of this balancer, and may be told twice.
-func (c *Client) Follow(ctx context.Context, address string, request *apiv1.FollowRequest) (*apiv1.FollowReply, error) {
+// the state of this balancer, and may be told twice. It returns when the call left
+// that was answered: from the first of the two, the answer's age seemed 1.5 s more,
+// and its balancer stale.
+func (c *Client) Follow(ctx context.Context, address string, given *apiv1.FollowRequest) (reply *apiv1.FollowReply, sentAt time.Time, err error) {
+	request := proto.CloneOf(given)
 	request.TakesPacked = true
-	var reply *apiv1.FollowReply
 	call := func(ctx context.Context, directory apiv1.DRPCDirectoryClient) (err error) {
+		sentAt = time.Now()
 		if reply, err = directory.Follow(ctx, request); err != nil {
 			return err
 		}
@@ -87,12 +91,12 @@
 	silent, err := c.try(ctx, address, wait+answerTimeout, call)
 	if silent {
 		request.WaitMilliseconds = 0
-		_, err = c.try(ctx, address, answerTimeout, call)
+		err = c.tryAnew(ctx, address, call)
 	}
 	if err != nil {
-		return nil, errors.Wrapf(err, "peer %s: follow", address)
+		return nil, time.Time{}, errors.Wrapf(err, "peer %s: follow", address)
 	}
-	return reply, nil
+	return reply, sentAt, nil
 }
 
 // Testify tells the balancer at an address what was seen of back ends. Statements
@@ -105,11 +109,21 @@
 	}
 	silent, err := c.try(ctx, address, answerTimeout, call)
 	if silent {
-		_, err = c.try(ctx, address, answerTimeout, call)
+		err = c.tryAnew(ctx, address, call)
 	}
 	return errors.Wrapf(err, "peer %s: testify", address)
 }
 
+// tryAnew makes the second of two calls, whose connection is new: dial and answer
+// together take answerTimeout, so that news comes within 2 s also where the dial is
+// slow.
+func (c *Client) tryAnew(ctx context.Context, address string, call func(context.Context, apiv1.DRPCDirectoryClient) error) error {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	_, err := c.try(ctx, address, answerTimeout, call)
+	return err
+}
+
 // try makes a call once, within a limit, and closes the connection if it fails. It
 // tells whether the connection may have gone silent: it had brought answers before,
 // and now none in time.
