--- a/internal/replication/outage_test.go
+++ b/internal/replication/outage_test.go
@@ -48,7 +48,7 @@
 const (
 	outageStep = 10 * time.Millisecond
 	// followTime is how long a call may wait for news.
-	followTime = 1500 * time.Millisecond
+	followTime = FollowWait
 )
 
 func newOutage(count int, seed uint64) *outage {
@@ -118,9 +118,9 @@
 }
 
 func (o *outage) call(node *outageNode, peer Peer) {
-	made := &outageCall{from: node, started: node.started, peer: peer, sentAt: o.now, expires: o.now.Add(500 * time.Millisecond)}
+	made := &outageCall{from: node, started: node.started, peer: peer, sentAt: o.now, expires: o.now.Add(answerTimeout)}
 	if peer.Waits() {
-		made.expires = o.now.Add(2 * time.Second)
+		made.expires = o.now.Add(followTime + answerTimeout)
 	}
 	for _, node := range o.nodes {
 		if address(node.place) == peer.Address {
--- a/internal/replication/silent_test.go
+++ b/internal/replication/silent_test.go
@@ -228,3 +228,51 @@
 		silentFollower+time.Second, 20*time.Millisecond)
 	require.Less(t, time.Since(began), silentFollower+time.Second)
 }
+
+// A connection that the other side has ended meanwhile, as when it restarts, costs no
+// call: the next one is made on a new connection.
+func TestEndedConnectionIsNotUsedAgain(t *testing.T) {
+	_, proxy := peerBehind(t)
+	client := newQuietClient(t)
+	_, err := follow(client, proxy.Address(), 0)
+	require.NoError(t, err)
+	proxy.End()
+	select {
+	case <-client.connection.Closed():
+	case <-time.After(2 * time.Second):
+		require.Fail(t, "the end is not seen")
+	}
+	_, err = follow(client, proxy.Address(), 0)
+	require.NoError(t, err)
+	require.Equal(t, 2, proxy.Accepted())
+	require.Zero(t, client.GivenUp.Load(), "it was not silent")
+}
+
+// A follower that takes nothing does not hold the answer to it for good.
+func TestAnswerThatDoesNotLeaveIsGivenUp(t *testing.T) {
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := boundedListener{inner}
+	t.Cleanup(func() { _ = listener.Close() })
+	follower, err := net.Dial("tcp4", listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = follower.Close() })
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	outcome := make(chan error, 1)
+	go func() {
+		for {
+			if _, err := accepted.Write(make([]byte, 1<<20)); err != nil {
+				outcome <- err
+				return
+			}
+		}
+	}()
+	t.Cleanup(func() { _ = accepted.Close() })
+	select {
+	case err := <-outcome:
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	case <-time.After(silentFollower + 2*time.Second):
+		require.Fail(t, "the answer still waits to leave")
+	}
+}
--- a/internal/standin/swallow/swallow.go
+++ b/internal/standin/swallow/swallow.go
@@ -63,6 +63,15 @@
 	}
 }
 
+// End ends all connections that are open now, on both sides.
+func (p *Proxy) End() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, each := range p.open {
+		each.close()
+	}
+}
+
 // Close ends the proxy and all its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
