The picture of demand and room: parts are lent up the tree of followers, the sum of all is told back

Nobody knew what the fleet's callers ask: each balancer knew its own zone's share of waiting requests. Each now counts what its flows ask of each pool and zone (waiting, openings, answers, refusals, and what its zone's clients ask), lends its part to the balancer that it follows, and gets the sum of all with an age. A part is lent to one at a time and ends everywhere at a time that its owner knows, by the other's clock, so that one that moves, restarts or vanishes is never counted twice or for ever. Each guard was taken out once to see a test of internal/demand fail: lent to another before it ended, lent at once after a start, no end, a sum that outlasts its parts, the last report's end in place of the latest. Room is counted with each table: live, not draining, not evacuated, warm and well back ends. Nothing decides by it yet.

--- a/internal/balancer/calls.go
+++ b/internal/balancer/calls.go
@@ -109,6 +109,7 @@
 			request.TestimonyAfter, request.TestimonyClock = c.testimony.heard, c.testimony.theirs.ID
 		}
 		request.TakesTestimony = true
+		request.Demand = c.reportTo(peer.Address, false, now)
 		if c.core.SharesOrder(peer.Address) {
 			// Who is of another zone has hardly seen the same back ends, but counts
 			// as one more that might by chance.
@@ -141,6 +142,7 @@
 		Purpose:         uint32(peer.Purpose),
 		Callers:         reply.GetCallers(),
 		Findings:        reply.GetFindings(),
+		Demand:          reply.GetDemand(),
 
 		Testimony:             reply.GetTestimony(),
 		TestimonyLatest:       reply.GetTestimonyLatest(),
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -6,6 +6,7 @@
 	"time"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/demand"
 	"github.com/indigobarrow/indigobarrow/internal/directory"
 	"github.com/indigobarrow/indigobarrow/internal/flow"
 	"github.com/indigobarrow/indigobarrow/internal/replication"
@@ -52,6 +53,7 @@
 	programs  programs
 	observed  observed
 	findings  findings
+	demand    demandState
 	followers chan *follower
 	// testimonies are calls of followers that tell what they saw of back ends, and
 	// nudged wakes this goroutine to pass on what the traffic goroutine saw.
@@ -106,6 +108,8 @@
 		nudged:      make(chan struct{}, 1),
 		testimony:   testimony{clock: chance.Uint64() | 1, client: replication.NewClient(balancer.logger)},
 
+		demand: demandState{tree: demand.NewTree(balancer.started)},
+
 		former: make(map[flow.Address]map[string]time.Time),
 	}
 	made.core.SetSeeds(settings.GetSeeds())
@@ -164,6 +168,7 @@
 	c.startCalls(ctx, now)
 	c.takeStatements(now)
 	c.startTestify(ctx, now)
+	c.startReport(ctx, now)
 	c.answerWaiting(now)
 	if c.known.Expire(now) || c.takeObserved(now) {
 		c.rebuild = true
@@ -193,6 +198,7 @@
 		return false
 	}
 	c.nextLook = now.Add(lookPause)
+	c.takeDemand(now)
 	summary := c.balancer.traffic.observed.Load()
 	changed := c.observed.take(summary, now)
 	c.findings.own = nil
--- /dev/null
+++ b/internal/balancer/demand.go
@@ -0,0 +1,181 @@
+package balancer
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/demand"
+)
+
+// placesLimit bounds the places in one message: some 50 bytes each, so 6 kB, at about one
+// message a second up and one down.
+const placesLimit = 128
+
+// demandState is what the control goroutine knows of the demand on back ends.
+type demandState struct {
+	own  demand.Own
+	tree *demand.Tree
+	room room
+	// picture is the latest one, for all goroutines; nil is none.
+	picture atomic.Pointer[demand.Picture]
+	// pace is that of reports, and telling is set while one is under way that does not go
+	// with another call.
+	pace    demand.Pace
+	telling bool
+}
+
+// Picture is the latest picture of demand and room, or nil. Any goroutine may ask.
+func (b *Balancer) Picture() *demand.Picture { return b.control.demand.picture.Load() }
+
+// takeDemand takes what the traffic goroutine has observed and makes a new picture.
+func (c *control) takeDemand(now time.Time) {
+	d := &c.demand
+	if summary := c.balancer.traffic.observed.Load(); summary != nil {
+		d.own.Take(summary.Places, summary.At)
+	}
+	zone := demand.Zone(c.balancer.settings.Load().GetZone())
+	d.tree.See(d.own.Picture(zone, now))
+	if d.room.isOld(now) {
+		c.measureRoom(c.evacuated(), now)
+	}
+	picture := d.tree.Picture(now)
+	d.picture.Store(picture.WithRoom(d.room.slots))
+}
+
+// takeReport takes the report of a follower. One in another clock means nothing.
+func (c *control) takeReport(from string, encoded *apiv1.DemandReport, now time.Time) {
+	if from == "" || encoded == nil || encoded.GetClock() != c.testimony.clock {
+		return
+	}
+	report := demand.Report{
+		Picture: decodePicture(encoded, now),
+		Until:   c.balancer.started.Add(time.Duration(encoded.GetUntilMilliseconds()) * time.Millisecond),
+		Height:  int(encoded.GetHeight()),
+	}
+	c.demand.tree.TakeFollower(demand.Address(from), report, now)
+	c.demand.pace.Taken(now)
+}
+
+// takeWhole takes what the balancer that is followed says of all.
+func (c *control) takeWhole(news *apiv1.DirectoryNews) {
+	if news.GetDemand() == nil {
+		return
+	}
+	left := c.balancer.started.Add(time.Duration(news.GetLeftAfterNanoseconds()))
+	c.demand.tree.TakeParent(decodePicture(news.GetDemand(), left))
+}
+
+// reportTo returns the report for the balancer that is followed, or nil while it must not
+// be told. It goes alone or with another call.
+func (c *control) reportTo(parent string, alone bool, now time.Time) *apiv1.DemandReport {
+	theirs := c.testimony.theirs
+	if parent != c.testimony.parent || !theirs.Known() || !c.core.Leads(parent) {
+		return nil
+	}
+	report, may := c.demand.tree.Hand(demand.Address(parent), now)
+	if !may {
+		return nil
+	}
+	c.demand.pace.Told(alone, now)
+	encoded := encodePicture(report.Picture, now)
+	encoded.Clock = theirs.ID
+	encoded.UntilMilliseconds = uint64(max(0, theirs.Earliest(report.Until)).Milliseconds())
+	encoded.Height = uint32(report.Height)
+	return encoded
+}
+
+// startReport tells a report that does not wait for the next call.
+func (c *control) startReport(ctx context.Context, now time.Time) {
+	d := &c.demand
+	if d.telling || c.testimony.telling || c.balancer.traffic == nil || !d.pace.Due(now) {
+		return
+	}
+	parent := c.testimony.parent
+	report := c.reportTo(parent, true, now)
+	if report == nil {
+		return
+	}
+	d.telling = true
+	request := &apiv1.TestifyRequest{FromAddress: c.balancer.settings.Load().GetPeerAddress(), Demand: report}
+	client := c.testimony.client
+	go func() {
+		err := client.Testify(ctx, parent, request)
+		c.balancer.peerCalls.count(err)
+		c.publish(ctx, &apiv1.DirectoryNews{Peer: parent, Reported: true}, err)
+	}()
+}
+
+// reported takes the end of a call that told a report.
+func (c *control) reported(news *apiv1.DirectoryNews, now time.Time) {
+	c.demand.telling = false
+	if news.GetError() != "" {
+		c.demand.pace.Failed(now)
+	}
+}
+
+// encodePicture returns a picture for a message. Pools are left out whole, those with the
+// least demand, where there are too many places.
+func encodePicture(picture demand.Picture, now time.Time) *apiv1.DemandReport {
+	encoded := &apiv1.DemandReport{
+		Balancers:       uint32(picture.Balancers),
+		AgeMilliseconds: uint32(max(0, picture.Age(now)).Milliseconds()),
+	}
+	for _, zone := range slices.Sorted(maps.Keys(picture.Zones)) {
+		encoded.Zones = append(encoded.Zones, &apiv1.ZoneCount{Zone: string(zone), Balancers: uint32(picture.Zones[zone])})
+	}
+	pools := make(map[demand.Pool][]*apiv1.PlaceLoad)
+	total := make(map[demand.Pool]float64)
+	for place, load := range picture.Places {
+		pools[place.Pool] = append(pools[place.Pool], encodeLoad(place, load))
+		total[place.Pool] += load.Asks
+	}
+	largest := func(a, b demand.Pool) int { return cmp.Or(cmp.Compare(total[b], total[a]), cmp.Compare(a, b)) }
+	for _, pool := range slices.SortedFunc(maps.Keys(pools), largest) {
+		if len(encoded.Places)+len(pools[pool]) > placesLimit {
+			break
+		}
+		encoded.Places = append(encoded.Places, pools[pool]...)
+	}
+	return encoded
+}
+
+func encodeLoad(place demand.Place, load demand.Load) *apiv1.PlaceLoad {
+	return &apiv1.PlaceLoad{
+		Pool:     string(place.Pool),
+		Zone:     string(place.Zone),
+		Waiting:  float32(load.Waiting),
+		Openings: float32(load.Openings),
+		Answers:  float32(load.Answers),
+		Refusals: float32(load.Refusals),
+		Asks:     float32(load.Asks),
+	}
+}
+
+// decodePicture reads a picture from a message that left, or came, at a time.
+func decodePicture(encoded *apiv1.DemandReport, at time.Time) demand.Picture {
+	made := demand.Picture{
+		At:        at.Add(-time.Duration(encoded.GetAgeMilliseconds()) * time.Millisecond),
+		Balancers: int(encoded.GetBalancers()),
+		Zones:     make(map[demand.Zone]int, len(encoded.GetZones())),
+		Places:    make(map[demand.Place]demand.Load, len(encoded.GetPlaces())),
+	}
+	for _, zone := range encoded.GetZones() {
+		made.Zones[demand.Zone(zone.GetZone())] = int(zone.GetBalancers())
+	}
+	for _, each := range encoded.GetPlaces() {
+		place := demand.Place{Pool: demand.Pool(each.GetPool()), Zone: demand.Zone(each.GetZone())}
+		made.Places[place] = demand.Load{
+			Waiting:  float64(each.GetWaiting()),
+			Openings: float64(each.GetOpenings()),
+			Answers:  float64(each.GetAnswers()),
+			Refusals: float64(each.GetRefusals()),
+			Asks:     float64(each.GetAsks()),
+		}
+	}
+	return made
+}
--- a/internal/balancer/followers.go
+++ b/internal/balancer/followers.go
@@ -20,6 +20,7 @@
 	confirmedAt time.Time
 	until       time.Time
 	findings    []*apiv1.BackendFinding
+	demand      *apiv1.DemandReport
 	// shown and silent are what it passes on about balancers.
 	shown  []*apiv1.Balancer
 	silent []string
@@ -99,6 +100,7 @@
 		confirmedAt:    now.Add(-age),
 		until:          now.Add(time.Duration(request.GetWaitMilliseconds()) * time.Millisecond),
 		findings:       request.GetFindings(),
+		demand:         request.GetDemand(),
 		shown:          request.GetShown(),
 		silent:         request.GetSilent(),
 		everything:     request.GetEverything(),
@@ -132,6 +134,7 @@
 	if asking.follows() {
 		c.findings.takeFollower(asking.caller.Address, asking.findings, asking.takenAt)
 	}
+	c.takeReport(asking.caller.Address, asking.demand, asking.takenAt)
 	if len(c.waiting) >= followersLimit {
 		asking.until = asking.takenAt
 	}
@@ -178,6 +181,7 @@
 	}
 	if asking.takesTestimony {
 		c.addTestimony(reply, statements, now)
+		reply.Demand = encodePicture(c.demand.tree.Picture(now), now)
 	}
 	if !known {
 		reply.AgeMilliseconds = uint32(unknownAge.Milliseconds())
--- a/internal/balancer/learn.go
+++ b/internal/balancer/learn.go
@@ -30,6 +30,8 @@
 		c.checkEnded(news, now)
 	case news.GetTestified():
 		c.testified(news, now)
+	case news.GetReported():
+		c.reported(news, now)
 	case news.GetWrite():
 		c.writeEnded(news.GetError() != "", now)
 	case news.GetPeer() == "":
@@ -125,5 +127,6 @@
 	}
 	if peer.Purpose == replication.PurposeFollow {
 		c.heardParent(news, now)
+		c.takeWhole(news)
 	}
 }
--- a/internal/balancer/renew.go
+++ b/internal/balancer/renew.go
@@ -18,6 +18,7 @@
 	}
 	c.rememberPools(now)
 	evacuated := c.evacuated()
+	c.measureRoom(evacuated, now)
 	table := tokenroute.NewTable(c.known, tokenroute.Options{
 		Weigh:      c.weigher(evacuated, now),
 		Evacuated:  evacuated,
--- a/internal/balancer/testimony.go
+++ b/internal/balancer/testimony.go
@@ -135,6 +135,10 @@
 // takeTestimony takes the statements of a follower. Times in a clock that is not that
 // of this process mean nothing.
 func (c *control) takeTestimony(request *apiv1.TestifyRequest, now time.Time) {
+	c.takeReport(request.GetFromAddress(), request.GetDemand(), now)
+	if len(request.GetTestimony()) == 0 {
+		return
+	}
 	if request.GetClock() != c.testimony.clock {
 		c.balancer.logger.Debug("Control: statements in another clock are left out.", "peer", request.GetFromAddress())
 		return
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -9,7 +9,10 @@
 //
 // # Usage
 //
-//	part = part.Plus(other)
+//	own.Take(places, at)
+//	tree.See(own.Picture(zone, now))
+//	report, may := tree.Hand(parent, now) // tells the parent what is seen here
+//	picture := tree.Picture(now)
 //	load := picture.Places[demand.Place{Pool: pool, Zone: zone}]
 package demand
 
@@ -34,6 +37,10 @@
 	// Openings are new flows sent there, Answers requests answered, and Refusals new
 	// flows refused for want of room, each a second.
 	Openings, Answers, Refusals float64
+	// Asks are the new flows, and the requests beyond the first of each flow, that the
+	// balancers of the zone were asked to carry a second, wherever they went, those that
+	// were refused included. They tell of the zone's clients, the others of its back ends.
+	Asks float64
 }
 
 // Plus adds what other balancers see.
@@ -43,6 +50,7 @@
 		Openings: l.Openings + other.Openings,
 		Answers:  l.Answers + other.Answers,
 		Refusals: l.Refusals + other.Refusals,
+		Asks:     l.Asks + other.Asks,
 	}
 }
 
@@ -50,7 +58,57 @@
 type Picture struct {
 	// At is when the oldest part of it was seen; zero is never.
 	At time.Time
-	// Balancers is how many balancers see it.
+	// Balancers is how many balancers see it, and Zones how many of each zone.
 	Balancers int
+	Zones     map[Zone]int
 	Places    map[Place]Load
+	// Room is how many requests the back ends of a place that take new flows handle at
+	// once. Each balancer adds it from its own directory.
+	Room map[Place]float64
+}
+
+// Age is the time since the oldest part was seen.
+func (p *Picture) Age(now time.Time) time.Duration { return now.Sub(p.At) }
+
+// Fresh tells whether decisions may rest on the picture. A nil picture is not fresh.
+func (p *Picture) Fresh(now time.Time) bool {
+	return p != nil && !p.At.IsZero() && p.Age(now) <= FreshFor
+}
+
+// Pressure is the part of a place's room that is in use: from 1 on requests wait for a
+// slot. It is 0 where nobody asks, and infinite where somebody does and there is no room.
+func (p *Picture) Pressure(place Place) float64 {
+	waiting := p.Places[place].Waiting
+	if waiting == 0 {
+		return 0
+	}
+	return waiting / p.Room[place]
+}
+
+// WithRoom returns the picture with the room of places.
+func (p Picture) WithRoom(room map[Place]float64) *Picture {
+	p.Room = room
+	return &p
+}
+
+// plus adds what other balancers see.
+func (p Picture) plus(other Picture) Picture {
+	joined := Picture{
+		At:        p.At,
+		Balancers: p.Balancers + other.Balancers,
+		Zones:     make(map[Zone]int, len(p.Zones)),
+		Places:    make(map[Place]Load, len(p.Places)),
+	}
+	if joined.At.IsZero() || other.At.Before(joined.At) {
+		joined.At = other.At
+	}
+	for _, each := range []Picture{p, other} {
+		for zone, count := range each.Zones {
+			joined.Zones[zone] += count
+		}
+		for place, load := range each.Places {
+			joined.Places[place] = joined.Places[place].Plus(load)
+		}
+	}
+	return joined
 }
--- /dev/null
+++ b/internal/demand/tree.go
@@ -0,0 +1,129 @@
+package demand
+
+import (
+	"maps"
+	"time"
+)
+
+// Address is where a balancer is reached, and names it.
+type Address string
+
+const (
+	// Step is the longest time between two reports of a follower that lives: it reports
+	// each second at least, and a machine of 0.06 cores may be late by half of one.
+	Step = 1500 * time.Millisecond
+	// levels is how many levels of balancers may stand below one: three in a zone of
+	// 1,200, its head and the reader. Reports of more are not taken, which also ends what
+	// would go round in a circle.
+	levels = 4
+	// Lease is for how long a part counts, wherever it was added in. Each level passes
+	// on what it took up to a Step ago.
+	Lease = (levels + 1) * Step
+	// FreshFor is the age up to which decisions rest on a picture: the way over all
+	// levels at the usual pace of a second a level, and back.
+	FreshFor = 5 * time.Second
+)
+
+// Report is what a balancer and those that follow it see.
+type Report struct {
+	Picture
+	// Until is when it counts no longer, wherever it was added in: the earliest end of
+	// its parts. Whoever was told it for one may tell another only then.
+	Until time.Time
+	// Height is how many levels of balancers it is the sum of, besides the sender.
+	Height int
+}
+
+// Tree adds up the parts of this balancer and of those that follow it, and keeps what
+// the one that this one follows says of all.
+//
+// A part is lent to one balancer at a time. It ends there, and in every sum that it went
+// into, at a time that its owner knows, so that an owner that moves, starts anew or
+// vanishes is never counted twice, and not for ever.
+type Tree struct {
+	startedAt time.Time
+	own       Picture
+	followers map[Address]Report
+	parent    Picture
+	// lender is whom the own part was told last, and lentUntil when it ends there.
+	lender    Address
+	lentUntil time.Time
+}
+
+// NewTree makes the tree of a balancer that has just started. What an earlier run of it
+// has lent may still count.
+func NewTree(now time.Time) *Tree {
+	return &Tree{startedAt: now, followers: make(map[Address]Report)}
+}
+
+// See takes the own part.
+func (t *Tree) See(own Picture) { t.own = own }
+
+// TakeFollower takes the report of a balancer that follows this one. It takes the place
+// of an earlier one.
+func (t *Tree) TakeFollower(from Address, report Report, now time.Time) {
+	maps.DeleteFunc(t.followers, func(_ Address, each Report) bool { return !now.Before(each.Until) })
+	fromAbove := from == t.lender && now.Before(t.lentUntil)
+	// Nobody lends for longer than a Lease.
+	if fromAbove || report.Height >= levels || !now.Before(report.Until) || report.Until.After(now.Add(Lease)) {
+		return
+	}
+	t.followers[from] = report
+}
+
+// TakeParent takes what the balancer that is followed says of all.
+func (t *Tree) TakeParent(all Picture) { t.parent = all }
+
+// Hand lends the parts of this balancer and of its followers to another one, unless they
+// still count elsewhere.
+func (t *Tree) Hand(to Address, now time.Time) (Report, bool) {
+	elsewhere := to != t.lender && now.Before(t.lentUntil)
+	if elsewhere || now.Before(t.startedAt.Add(Lease)) {
+		return Report{}, false
+	}
+	report := Report{Picture: t.own, Until: now.Add(Lease)}
+	for _, each := range t.followers {
+		if !each.renewed(now) {
+			continue
+		}
+		report.Picture = report.plus(each.Picture)
+		report.Height = max(report.Height, each.Height+1)
+		if each.Until.Before(report.Until) {
+			report.Until = each.Until
+		}
+	}
+	t.lender = to
+	if report.Until.After(t.lentUntil) {
+		t.lentUntil = report.Until
+	}
+	return report, true
+}
+
+// renewed tells whether a report is passed on: one of a follower that lives has lost at
+// most a Step at each level. The others would end the whole sum early.
+func (r Report) renewed(now time.Time) bool {
+	return r.Until.Sub(now) >= Lease-time.Duration(r.Height+1)*Step
+}
+
+// here is what this balancer and those that follow it see.
+func (t *Tree) here(now time.Time) Picture {
+	joined := t.own
+	for _, each := range t.followers {
+		if now.Before(each.Until) {
+			joined = joined.plus(each.Picture)
+		}
+	}
+	return joined
+}
+
+// Own is what this balancer sees itself.
+func (t *Tree) Own() Picture { return t.own }
+
+// Picture is what all balancers see, or, while nobody has told that of late, what this
+// one and those that follow it do.
+func (t *Tree) Picture(now time.Time) Picture {
+	if t.parent.Fresh(now) {
+		return t.parent
+	}
+	return t.here(now)
+}
--- /dev/null
+++ b/internal/demand/tree_test.go
@@ -0,0 +1,245 @@
+package demand
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var begin = time.Unix(1e9, 0)
+
+// part is what a balancer sees: one request at a place that no other sees, so that a sum
+// tells who is in it and how often.
+func part(name string, at time.Time) Picture {
+	zone := Zone("z")
+	return Picture{At: at, Balancers: 1, Zones: map[Zone]int{zone: 1},
+		Places: map[Place]Load{{Pool: Pool(name), Zone: zone}: {Waiting: 1}}}
+}
+
+// long is long enough for a balancer that has started to lend its part.
+const long = Lease + time.Second
+
+func started(name string, now time.Time) *Tree {
+	made := NewTree(now.Add(-long))
+	made.See(part(name, now))
+	return made
+}
+
+func hand(t require.TestingT, from, to *Tree, name string, now time.Time) {
+	report, may := from.Hand("parent", now)
+	require.True(t, may)
+	to.TakeFollower(Address(name), report, now)
+}
+
+func TestPartsOfAllAddUp(t *testing.T) {
+	now := begin
+	root, middle, leaf := started("root", now), started("middle", now), started("leaf", now.Add(-time.Second))
+	hand(t, leaf, middle, "leaf", now)
+	hand(t, middle, root, "middle", now)
+	hand(t, middle, root, "middle", now.Add(time.Second/2))
+	all := root.Picture(now.Add(time.Second / 2))
+	require.Equal(t, 3, all.Balancers)
+	require.Equal(t, map[Zone]int{"z": 3}, all.Zones)
+	require.Len(t, all.Places, 3)
+	for place, load := range all.Places {
+		require.Equal(t, 1.0, load.Waiting, place)
+	}
+	require.Equal(t, now.Add(-time.Second), all.At, "as old as its oldest part")
+	leaf.TakeParent(all)
+	require.Equal(t, all, leaf.Picture(now.Add(time.Second)))
+}
+
+// A balancer that is cut off goes on with its own part, and knows that it is the only one.
+func TestCutOffBalancerGoesOnAlone(t *testing.T) {
+	now := begin
+	leaf := started("leaf", now)
+	all := part("leaf", now)
+	leaf.TakeParent(all.plus(part("other", now)))
+	require.Equal(t, 2, leaf.Picture(now.Add(FreshFor)).Balancers)
+	later := now.Add(FreshFor + time.Millisecond)
+	leaf.See(part("leaf", later))
+	alone := leaf.Picture(later)
+	require.Equal(t, 1, alone.Balancers)
+	require.True(t, alone.Fresh(later))
+}
+
+// The part of a balancer that vanished ends everywhere, also in sums that were passed on.
+func TestVanishedBalancerEnds(t *testing.T) {
+	now := begin
+	root, middle, leaf := started("root", now), started("middle", now), started("leaf", now)
+	hand(t, leaf, middle, "leaf", now)
+	for elapsed := time.Duration(0); elapsed <= 2*Lease; elapsed += time.Second {
+		at := now.Add(elapsed)
+		hand(t, middle, root, "middle", at)
+		all := root.Picture(at)
+		require.Equal(t, 1.0, all.Places[Place{"middle", "z"}].Waiting, "a dead one takes nobody with it")
+		if elapsed > 2*Step {
+			require.NotContains(t, all.Places, Place{"leaf", "z"})
+		}
+	}
+}
+
+func TestBalancerThatStartsLendsNothingYet(t *testing.T) {
+	fresh := NewTree(begin)
+	_, may := fresh.Hand("parent", begin.Add(Lease-time.Millisecond))
+	require.False(t, may, "an earlier run may still count somewhere else")
+	_, may = fresh.Hand("parent", begin.Add(Lease))
+	require.True(t, may)
+}
+
+func TestReportsInACircleEnd(t *testing.T) {
+	now := begin
+	one, other := started("one", now), started("other", now)
+	report, _ := one.Hand("other", now)
+	other.TakeFollower("one", report, now)
+	report, _ = other.Hand("one", now)
+	one.TakeFollower("other", report, now)
+	require.Equal(t, 1, one.Picture(now).Balancers, "what one leads is not led by it")
+}
+
+// The sum that a part went into ends with it: else its owner would count there and where
+// it has moved to.
+func TestSumEndsWithTheFirstOfItsParts(t *testing.T) {
+	now := begin
+	root, middle, leaf := started("root", now), started("middle", now), started("leaf", now)
+	hand(t, leaf, middle, "leaf", now)
+	hand(t, middle, root, "middle", now.Add(Step))
+	_, may := leaf.Hand("elsewhere", now.Add(Lease-time.Millisecond))
+	require.False(t, may)
+	moved := now.Add(Lease)
+	report, may := leaf.Hand("elsewhere", moved)
+	require.True(t, may)
+	root.TakeFollower("leaf", report, moved)
+	require.Equal(t, 1.0, root.Picture(moved).Places[Place{"leaf", "z"}].Waiting)
+}
+
+// A later report may end before an earlier one that went to the same balancer, and get lost.
+func TestLastEndOfAllReportsCounts(t *testing.T) {
+	now := begin
+	root, middle, leaf := started("root", now), started("middle", now), started("leaf", now)
+	late, _ := leaf.Hand("middle", now)
+	hand(t, middle, root, "middle", now.Add(time.Second))
+	middle.TakeFollower("leaf", late, now.Add(time.Second))
+	_, may := middle.Hand("parent", now.Add(time.Second))
+	require.True(t, may, "this one is lost")
+	_, may = middle.Hand("elsewhere", now.Add(Lease))
+	require.False(t, may)
+	_, may = middle.Hand("elsewhere", now.Add(Lease+time.Second))
+	require.True(t, may)
+}
+
+// fleet are balancers that hand their parts to others before them in an order, whoever
+// they take for their parent just then. Messages are late, lost and doubled; balancers
+// restart and vanish.
+type fleet struct {
+	now   time.Time
+	nodes []*fleetNode
+	mail  []fleetMail
+	// lostAt is when balancers vanished.
+	lostAt map[string]time.Time
+}
+
+type fleetNode struct {
+	tree *Tree
+	down bool
+}
+
+type fleetMail struct {
+	from, to int
+	run      *Tree
+	report   Report
+	at       time.Time
+}
+
+func name(node int) string { return fmt.Sprintf("b%d", node) }
+
+func (f *fleet) wait(length time.Duration) {
+	f.now = f.now.Add(length)
+	kept := f.mail[:0]
+	for _, each := range f.mail {
+		if f.now.Before(each.at) {
+			kept = append(kept, each)
+			continue
+		}
+		// A report in the clock of an earlier run means nothing.
+		if to := f.nodes[each.to]; !to.down && to.tree == each.run {
+			to.tree.TakeFollower(Address(name(each.from)), each.report, f.now)
+		}
+	}
+	f.mail = kept
+	for place, node := range f.nodes {
+		if !node.down {
+			node.tree.See(part(name(place), f.now))
+		}
+	}
+}
+
+// report sends the report of a balancer, up to three times, or not.
+func (f *fleet) report(t *rapid.T) {
+	from := rapid.IntRange(1, len(f.nodes)-1).Draw(t, "from")
+	to := rapid.IntRange(0, from-1).Draw(t, "to")
+	if f.nodes[from].down || f.nodes[to].down {
+		return
+	}
+	report, may := f.nodes[from].tree.Hand(Address(name(to)), f.now)
+	if !may {
+		return
+	}
+	for range rapid.SampledFrom([]int{1, 1, 1, 0, 2}).Draw(t, "copies") {
+		late := time.Duration(rapid.SampledFrom([]int{0, 0, 0, 0, 300, 6000}).Draw(t, "late")) * time.Millisecond
+		f.mail = append(f.mail, fleetMail{from: from, to: to, run: f.nodes[to].tree, report: report, at: f.now.Add(late)})
+	}
+	f.wait(0)
+}
+
+func (f *fleet) check(t require.TestingT) {
+	for _, node := range f.nodes {
+		if node.down {
+			continue
+		}
+		here := node.tree.here(f.now)
+		require.Len(t, here.Places, here.Balancers)
+		for place, load := range here.Places {
+			require.LessOrEqual(t, load.Waiting, 1.0, "%s is counted twice", place.Pool)
+			if lostAt, lost := f.lostAt[string(place.Pool)]; lost {
+				require.LessOrEqual(t, f.now.Sub(lostAt), Lease, "%s is counted for ever", place.Pool)
+			}
+		}
+	}
+}
+
+// Whoever moves, restarts, reports twice or vanishes, at every moment nobody counts a
+// balancer twice, and none that vanished for longer than a lease.
+func TestNobodyIsCountedTwiceOrForEver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(3, 5).Draw(t, "balancers")
+		f := &fleet{now: begin, lostAt: make(map[string]time.Time)}
+		for node := range count {
+			f.nodes = append(f.nodes, &fleetNode{tree: started(name(node), begin)})
+		}
+		for range 120 {
+			switch rapid.IntRange(0, 9).Draw(t, "action") {
+			default:
+				f.report(t)
+			case 0, 1, 2:
+				milliseconds := rapid.SampledFrom([]int{10, 200, 1000, 1400, 3000}).Draw(t, "wait")
+				f.wait(time.Duration(milliseconds) * time.Millisecond)
+			case 3:
+				node := rapid.IntRange(0, count-1).Draw(t, "restarts")
+				f.nodes[node] = &fleetNode{tree: NewTree(f.now)}
+				f.nodes[node].tree.See(part(name(node), f.now))
+				delete(f.lostAt, name(node))
+			case 4:
+				node := rapid.IntRange(0, count-1).Draw(t, "vanishes")
+				if !f.nodes[node].down {
+					f.nodes[node].down = true
+					f.lostAt[name(node)] = f.now
+				}
+			}
+			f.check(t)
+		}
+	})
+}
--- a/internal/evidence/clock.go
+++ b/internal/evidence/clock.go
@@ -30,3 +30,7 @@
 	}
 	return c.shown + statement.When().Sub(c.leftBefore)
 }
+
+// Earliest translates a time to the other's clock: the latter shows it no later than
+// the time itself.
+func (c Clock) Earliest(at time.Time) time.Duration { return c.shown + at.Sub(c.leftBefore) }
--- /dev/null
+++ b/internal/replication/leads.go
@@ -0,0 +1,20 @@
+package replication
+
+import apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+
+// Leads tells whether the balancer at an address may be told sums over this one and its
+// followers: it is above this one, and before it in an order that rests on nothing but
+// the two entries, so that sums don't go round even while balancers know different lists.
+func (c *Core) Leads(address string) bool {
+	own := rankingOf(c.config.Self)
+	for _, b := range c.tree.above {
+		if b.GetPeerAddress() == address {
+			return rankingOf(b).compare(own) < 0
+		}
+	}
+	return false
+}
+
+func rankingOf(b *apiv1.Balancer) ranking {
+	return ranking{balancer: b, tier: tier(b), hash: rank(b.GetName())}
+}
--- a/internal/replication/order.go
+++ b/internal/replication/order.go
@@ -25,7 +25,7 @@
 func byRank(balancers []*apiv1.Balancer) {
 	order := make([]ranking, 0, len(balancers))
 	for _, b := range balancers {
-		order = append(order, ranking{balancer: b, tier: tier(b), hash: rank(b.GetName())})
+		order = append(order, rankingOf(b))
 	}
 	slices.SortFunc(order, ranking.compare)
 	for place, ranked := range order {
--- a/internal/tokenroute/flows.go
+++ b/internal/tokenroute/flows.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/indigobarrow/indigobarrow/internal/demand"
 	"github.com/indigobarrow/indigobarrow/internal/flow"
 	"github.com/indigobarrow/indigobarrow/internal/mechanism"
 	"github.com/indigobarrow/indigobarrow/internal/observe"
@@ -65,6 +66,8 @@
 	silent map[uint64]*silence
 	loads  map[uint64]*load
 	pools  map[string]*poolUse
+	// places are what is asked of each pool in each zone.
+	places map[demand.Place]*placeAsked
 	// summarizedAt is when the last summary was made, judgedAt when answers were
 	// last compared.
 	summarizedAt, judgedAt time.Time
@@ -174,7 +177,8 @@
 func (f *Flows) loadOf(backend *Backend) *load {
 	known := f.loads[backend.Number]
 	if known == nil {
-		known = &load{pool: f.poolUse(backend.Pool), answers: make(map[flow.Address]*observe.Tally)}
+		known = &load{pool: f.poolUse(backend.Pool), place: f.placeAsked(backend.Pool, backend.Zone),
+			answers: make(map[flow.Address]*observe.Tally)}
 		f.loads[backend.Number] = known
 	}
 	return known
@@ -195,6 +199,7 @@
 		f.Retried.Add(1)
 	}
 	f.cold.take(chosen, now)
+	f.countOpening(chosen, known.count == 0)
 	known.count = min(known.count, maximumTried-1)
 	known.tried[known.count] = chosen
 	known.count++
--- a/internal/tokenroute/memory.go
+++ b/internal/tokenroute/memory.go
@@ -28,14 +28,18 @@
 	load *load
 	// waits is set while the flow counts as waiting for an answer there.
 	waits bool
+	// asked is set once the flow's first request has begun.
+	asked bool
 }
 
 // load is how much of a back end the flows use that pass here.
 type load struct {
 	flows   int
 	waiting int
-	// pool is what the flows use of the back end's pool.
-	pool *poolUse
+	// pool is what the flows use of the back end's pool, and place what they ask of it
+	// in the back end's zone.
+	pool  *poolUse
+	place *placeAsked
 	// answers are those of the back end by the address that was asked: what is
 	// usual differs between addresses, and flows that last make some back ends
 	// serve one more than another.
@@ -69,11 +73,17 @@
 	l.flows++
 }
 
-// setWaiting counts whether the flow waits for an answer.
+// setWaiting counts whether the flow waits for an answer, and what it asked.
 func (s *flowState) setWaiting(waits bool, now time.Time) {
 	if s.load == nil || s.waits == waits {
 		return
 	}
+	s.countAsked(waits)
+	s.wait(waits, now)
+}
+
+// wait counts that the flow begins or ends to wait.
+func (s *flowState) wait(waits bool, now time.Time) {
 	s.waits = waits
 	change := 1
 	if !waits {
@@ -81,6 +91,7 @@
 	}
 	s.load.waiting += change
 	s.load.pool.use.Add(change, now)
+	s.load.place.use.Add(change, now)
 }
 
 // release takes a flow off the load where it counts.
@@ -88,7 +99,9 @@
 	if s.load == nil {
 		return
 	}
-	s.setWaiting(false, now)
+	if s.waits {
+		s.wait(false, now)
+	}
 	s.load.flows--
 	s.load = nil
 }
--- a/internal/tokenroute/summary.go
+++ b/internal/tokenroute/summary.go
@@ -23,6 +23,7 @@
 	if now.Sub(f.summarizedAt) < summaryPause {
 		return nil
 	}
+	elapsed := now.Sub(f.summarizedAt)
 	f.summarizedAt = now
 	if now.Sub(f.judgedAt) >= judgePause {
 		f.judgedAt = now
@@ -31,6 +32,7 @@
 	made := &observe.Summary{
 		At:      now,
 		Waiting: make(map[string]float64, len(f.pools)),
+		Places:  f.summarizePlaces(elapsed, now),
 
 		Findings: make(map[uint64]observe.Finding),
 	}
