Shares between zones by the picture of demand and room

A zone in more demand than it has room for sent its surplus to all others alike, by its own share of what waits. Each balancer now fills zones to one water level by the same picture: what a zone has beyond the level goes to those below it. The zone of a new flow is chosen by the parts alone; the least used among several zones hardly ever took one of a small weight.

--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -45,15 +45,17 @@
 
 // control is the state of the control goroutine.
 type control struct {
-	balancer  *Balancer
-	known     *directory.Directory
-	core      *replication.Core
-	client    *replication.Client
-	packer    replication.Packer
-	programs  programs
-	observed  observed
-	findings  findings
-	demand    demandState
+	balancer *Balancer
+	known    *directory.Directory
+	core     *replication.Core
+	client   *replication.Client
+	packer   replication.Packer
+	programs programs
+	observed observed
+	findings findings
+	demand   demandState
+	// listed are the balancers of each zone, this one included.
+	listed    map[demand.Zone]int
 	followers chan *follower
 	// testimonies are calls of followers that tell what they saw of back ends, and
 	// nudged wakes this goroutine to pass on what the traffic goroutine saw.
@@ -206,6 +208,7 @@
 		c.findings.own = summary.Findings
 	}
 	changed = c.observed.judge(c.findings.all(now), c.core.OrderSize()) || changed
+	changed = c.divide(now) || changed
 	if changed {
 		c.balancer.logger.Debug("Control: shares change.", "unwell", len(c.observed.unwell), "demand", c.observed.describe())
 	}
--- /dev/null
+++ b/internal/balancer/divide.go
@@ -0,0 +1,57 @@
+package balancer
+
+import (
+	"math"
+	"time"
+
+	"github.com/indigobarrow/indigobarrow/internal/demand"
+	"github.com/indigobarrow/indigobarrow/internal/mechanism"
+	"github.com/indigobarrow/indigobarrow/internal/shares"
+)
+
+// leastPart is the weight of zones that get nothing, beside the greatest. It only counts
+// where all others are avoided.
+const leastPart = 0.001
+
+// divide plans the parts of new flows for each zone by the latest picture, and tells
+// whether the table should be made anew.
+func (c *control) divide(now time.Time) bool {
+	picture := c.demand.picture.Load()
+	if !picture.Fresh(now) || c.balancer.off.Has(mechanism.DemandShares) || c.balancer.off.Has(mechanism.ZoneSharing) {
+		return c.observed.plan(nil)
+	}
+	own := demand.Zone(c.balancer.settings.Load().GetZone())
+	planned := make(map[demand.Pool]map[demand.Zone]float64)
+	for pool := range poolsOf(picture) {
+		if parts := shares.Among(shares.Zones(picture, pool, own, c.listed), own); parts != nil {
+			planned[pool] = parts
+		}
+	}
+	return c.observed.plan(planned)
+}
+
+// poolsOf are the pools that a picture tells of.
+func poolsOf(picture *demand.Picture) map[demand.Pool]bool {
+	found := make(map[demand.Pool]bool)
+	for place := range picture.Places {
+		found[place.Pool] = true
+	}
+	return found
+}
+
+// partWeight is the weight of a pool's back ends in a zone that together take their part
+// of the new flows; the greatest weight is 1.
+func (c *control) partWeight(parts map[demand.Zone]float64, place demand.Place) float64 {
+	each := func(zone demand.Zone) float64 {
+		backends := c.demand.room.backends[demand.Place{Pool: place.Pool, Zone: zone}]
+		return parts[zone] / math.Max(1, float64(backends))
+	}
+	greatest := 0.0
+	for zone := range parts {
+		greatest = math.Max(greatest, each(zone))
+	}
+	if greatest == 0 {
+		return 1
+	}
+	return math.Max(each(place.Zone)/greatest, leastPart)
+}
--- a/internal/balancer/learn.go
+++ b/internal/balancer/learn.go
@@ -7,6 +7,7 @@
 	"github.com/ThreeDotsLabs/watermill/message"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/demand"
 	"github.com/indigobarrow/indigobarrow/internal/events"
 	"github.com/indigobarrow/indigobarrow/internal/replication"
 )
@@ -66,6 +67,19 @@
 	balancers := c.known.Balancers()
 	c.core.SetBalancers(balancers, now)
 	c.observed.balancers = c.balancersInZone(balancers)
+	c.listed = c.countByZone(balancers)
+}
+
+// countByZone counts the balancers of each zone, this one included.
+func (c *control) countByZone(known []*apiv1.Balancer) map[demand.Zone]int {
+	settings := c.balancer.settings.Load()
+	counted := map[demand.Zone]int{demand.Zone(settings.GetZone()): 1}
+	for _, balancer := range known {
+		if balancer.GetName() != settings.GetName() {
+			counted[demand.Zone(balancer.GetZone())]++
+		}
+	}
+	return counted
 }
 
 // balancersInZone counts the balancers of this zone, this one included.
--- a/internal/balancer/observed.go
+++ b/internal/balancer/observed.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/indigobarrow/indigobarrow/internal/demand"
 	"github.com/indigobarrow/indigobarrow/internal/observe"
 	"github.com/indigobarrow/indigobarrow/internal/shares"
 )
@@ -33,6 +34,10 @@
 	// back ends, and the share of new flows that goes to other zones.
 	zones  map[string]*poolZones
 	remote map[string]float64
+	// planned are the parts of a pool's new flows for each zone by the latest picture, and
+	// parts those that the table in force was made with; pools of which no picture tells
+	// have none.
+	planned, parts map[demand.Pool]map[demand.Zone]float64
 	// unwell are the back ends whose answers differ from the others', and
 	// healthWeights the factors below 1 that the table in force was made with.
 	unwell        map[uint64]observe.Health
@@ -49,6 +54,7 @@
 // startTable takes the back ends that a new table is made with.
 func (o *observed) startTable(zones map[string]*poolZones) {
 	o.zones = zones
+	o.parts = o.planned
 	clear(o.healthWeights)
 	for number, health := range o.unwell {
 		o.healthWeights[number] = shares.HealthWeight(health)
@@ -124,6 +130,26 @@
 	return false
 }
 
+// plan takes the parts of new flows for each zone, and tells whether some move by enough.
+func (o *observed) plan(parts map[demand.Pool]map[demand.Zone]float64) bool {
+	o.planned = parts
+	if len(parts) != len(o.parts) {
+		return true
+	}
+	for pool, zones := range parts {
+		applied, found := o.parts[pool]
+		if !found {
+			return true
+		}
+		for zone, part := range zones {
+			if math.Abs(part-applied[zone]) > shareStep {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // describe is the demand by pool, for the log.
 func (o *observed) describe() map[string]float64 {
 	described := make(map[string]float64, len(o.waiting))
--- a/internal/balancer/renew.go
+++ b/internal/balancer/renew.go
@@ -24,6 +24,7 @@
 		Evacuated:  evacuated,
 		Warm:       c.newWarming(now).of,
 		Former:     c.formerPools(now),
+		ByZone:     c.observed.planned != nil,
 		AdmitAll:   now.Sub(c.firstAt) < c.flowLife(),
 		Lapse:      c.lapse(),
 		EmptyGrace: c.emptyGrace(),
--- a/internal/balancer/weigh.go
+++ b/internal/balancer/weigh.go
@@ -5,6 +5,7 @@
 	"time"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/demand"
 	"github.com/indigobarrow/indigobarrow/internal/directory"
 	"github.com/indigobarrow/indigobarrow/internal/mechanism"
 	"github.com/indigobarrow/indigobarrow/internal/policy"
@@ -50,8 +51,8 @@
 			}
 		}
 		weight := 1.0
-		if !spread && !local {
-			weight = c.remoteWeight(backend.GetPool(), zones[backend.GetPool()])
+		if !spread {
+			weight = c.zoneWeight(backend, zones[backend.GetPool()])
 		}
 		if !off.Has(mechanism.Health) {
 			weight *= c.observed.healthWeight(backend.GetNumber())
@@ -60,6 +61,18 @@
 	}
 }
 
+// zoneWeight is the weight, 0 to 1, of a pool's back ends in a zone.
+func (c *control) zoneWeight(backend directory.BackendEntry, pool *poolZones) float64 {
+	place := demand.Place{Pool: demand.Pool(backend.GetPool()), Zone: demand.Zone(backend.GetZone())}
+	if parts := c.observed.parts[place.Pool]; parts != nil && (pool.localBackends == 0 || pool.localBackends >= localEnough) {
+		return c.partWeight(parts, place)
+	}
+	if place.Zone == demand.Zone(c.balancer.settings.Load().GetZone()) {
+		return 1
+	}
+	return c.remoteWeight(backend.GetPool(), pool)
+}
+
 // poolZones is what a pool has in the balancer's zone and in the others.
 type poolZones struct {
 	localBackends, remoteBackends int
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -41,13 +41,29 @@
 	LapseGrace Name = "lapse_grace"
 	// EarlyPackets keeps packets that come before the first table until it is there.
 	EarlyPackets Name = "early_packets"
+	// DemandShares divides new flows between zones by the demand and room of all, where a
+	// picture of them is there.
+	DemandShares Name = "demand_shares"
 	// Health avoids back ends whose answers differ from the others'.
 	Health Name = "health"
 )
 
 // All are the mechanisms, in the order of this list.
-var All = []Name{LocalZone, ZoneSharing, SpreadAfterStart, LeastUsed, AvoidSilent, Verdicts, IdleResets, JoinedEvidence,
-	RestedFlows, LapseGrace, EarlyPackets, Health}
+var All = []Name{
+	LocalZone,
+	ZoneSharing,
+	SpreadAfterStart,
+	LeastUsed,
+	AvoidSilent,
+	Verdicts,
+	IdleResets,
+	JoinedEvidence,
+	RestedFlows,
+	LapseGrace,
+	EarlyPackets,
+	DemandShares,
+	Health,
+}
 
 // Set is a set of mechanisms. It is immutable; the zero value is empty.
 type Set struct {
--- a/internal/tokenroute/table.go
+++ b/internal/tokenroute/table.go
@@ -76,6 +76,8 @@
 	// evacuated is set when some back end takes no new flows only because its zone
 	// is evacuated.
 	evacuated bool
+	// byZone is set when the weights alone choose the zone.
+	byZone bool
 }
 
 // Options are what a table depends on besides the directory.
@@ -99,7 +101,11 @@
 	// EmptyGrace is for how long back ends whose entries vanished without a
 	// notice may take new flows when their pool has no other.
 	EmptyGrace time.Duration
-	Now        time.Time
+	// ByZone chooses the zone of a new flow by the weights alone, and only then the back
+	// end that is least in use. The least used among those of several zones would be taken
+	// from zones of small weights hardly ever, and their part would not be what was planned.
+	ByZone bool
+	Now    time.Time
 }
 
 // Lapse is a time in which the store has answered again after an outage, but
@@ -133,6 +139,9 @@
 		address := AddressOf(route)
 		table.routes[address] = builder.route(route, options.Former[address])
 	}
+	for _, each := range builder.pools {
+		each.byZone = options.ByZone
+	}
 	return table
 }
 
@@ -259,6 +268,9 @@
 	bestUse, bestWeight := 0, 1
 	for _, candidate := range candidates {
 		backend := p.backends[candidate.Backend-1]
+		if p.byZone && best != nil && backend.Zone != best.Zone {
+			continue
+		}
 		use, weight := inUse(backend)+1, int(candidate.Weight)
 		if best == nil || use*bestWeight < bestUse*weight {
 			best, bestUse, bestWeight = backend, use, weight
