Requests that nobody answers any more don't wait, and the way is no work

Full back ends reset flows, which clients don't tell; the memory kept such flows for 3 to 6 s. A request without a packet for eight times the mean time of an answer (0.5 s at least) no longer counts, for the choice of the least used neither. What waits is told less the part of the way, which a flow's opening takes without any work.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -32,7 +32,8 @@
 
 // Load is the demand on a place.
 type Load struct {
-	// Waiting is how many requests wait for an answer at a time.
+	// Waiting is how many requests are at the back ends at a time, worked on or in queues:
+	// those that wait for an answer, less the time of the way there and back.
 	Waiting float64
 	// Openings are new flows sent there, Answers requests answered, and Refusals new
 	// flows refused for want of room, each a second.
--- a/internal/tokenroute/memory.go
+++ b/internal/tokenroute/memory.go
@@ -28,8 +28,10 @@
 	load *load
 	// waits is set while the flow counts as waiting for an answer there.
 	waits bool
-	// asked is set once the flow's first request has begun.
-	asked bool
+	// asked is set once the flow's first request has begun, and waitsSince is when the
+	// latest one did.
+	asked      bool
+	waitsSince time.Time
 }
 
 // load is how much of a back end the flows use that pass here.
@@ -78,7 +80,7 @@
 	if s.load == nil || s.waits == waits {
 		return
 	}
-	s.countAsked(waits)
+	s.countAsked(waits, now)
 	s.wait(waits, now)
 }
 
