Leases of demand are as long as their owner has levels above it

A part now ends after 1.5 s for each level above and one more, and is left out as soon as its owner must have renewed it.

--- a/internal/balancer/demand.go
+++ b/internal/balancer/demand.go
@@ -39,7 +39,8 @@
 		d.own.Take(summary.Places, summary.At)
 	}
 	zone := demand.Zone(c.balancer.settings.Load().GetZone())
-	d.tree.See(d.own.Picture(zone, now))
+	above, all := c.core.Levels()
+	d.tree.See(d.own.Picture(zone, now), demand.Levels{Above: above, All: all})
 	if d.room.isOld(now) {
 		c.measureRoom(c.evacuated(), now)
 	}
--- a/internal/demand/tree.go
+++ b/internal/demand/tree.go
@@ -12,23 +12,31 @@
 	// Step is the longest time between two reports of a follower that lives: it reports
 	// each second at least, and a machine of 0.06 cores may be late by half of one.
 	Step = 1500 * time.Millisecond
-	// levels is how many levels of balancers may stand below one: three in a zone of
+	// levelsLimit is how many levels of balancers may stand below one: three in a zone of
 	// 1,200, its head and the reader. Reports of more are not taken, which also ends what
 	// would go round in a circle.
-	levels = 4
-	// Lease is for how long a part counts, wherever it was added in. Each level passes
-	// on what it took up to a Step ago.
-	Lease = (levels + 1) * Step
+	levelsLimit = 4
 	// FreshFor is the age up to which decisions rest on a picture: the way over all
 	// levels at the usual pace of a second a level, and back.
 	FreshFor = 5 * time.Second
 )
 
+// Levels are where a balancer stands in the tree.
+type Levels struct {
+	// Above is how many levels of balancers are above it, and All how many are below the
+	// reader.
+	Above, All int
+}
+
+// Lease is for how long a part counts, wherever it was added in, whose owner has so many
+// levels above it. Each of them passes on what it took up to a Step ago.
+func Lease(above int) time.Duration { return time.Duration(min(above, levelsLimit)+1) * Step }
+
 // Report is what a balancer and those that follow it see.
 type Report struct {
 	Picture
-	// Until is when it counts no longer, wherever it was added in: the earliest end of
-	// its parts. Whoever was told it for one may tell another only then.
+	// Until is when it counts no longer, wherever it was added in, and no later than the
+	// end of any of its parts.
 	Until time.Time
 	// Height is how many levels of balancers it is the sum of, besides the sender.
 	Height int
@@ -45,6 +53,7 @@
 	own       Picture
 	followers map[Address]Report
 	parent    Picture
+	levels    Levels
 	// lender is whom the own part was told last, and lentUntil when it ends there.
 	lender    Address
 	lentUntil time.Time
@@ -56,8 +65,8 @@
 	return &Tree{startedAt: now, followers: make(map[Address]Report)}
 }
 
-// See takes the own part.
-func (t *Tree) See(own Picture) { t.own = own }
+// See takes the own part, and where this balancer stands.
+func (t *Tree) See(own Picture, levels Levels) { t.own, t.levels = own, levels }
 
 // TakeFollower takes the report of a balancer that follows this one. It takes the place
 // of an earlier one.
@@ -65,7 +74,7 @@
 	maps.DeleteFunc(t.followers, func(_ Address, each Report) bool { return !now.Before(each.Until) })
 	fromAbove := from == t.lender && now.Before(t.lentUntil)
 	// Nobody lends for longer than a Lease.
-	if fromAbove || report.Height >= levels || !now.Before(report.Until) || report.Until.After(now.Add(Lease)) {
+	if fromAbove || report.Height >= levelsLimit || !now.Before(report.Until) || report.Until.After(now.Add(Lease(levelsLimit))) {
 		return
 	}
 	t.followers[from] = report
@@ -78,19 +87,16 @@
 // still count elsewhere.
 func (t *Tree) Hand(to Address, now time.Time) (Report, bool) {
 	elsewhere := to != t.lender && now.Before(t.lentUntil)
-	if elsewhere || now.Before(t.startedAt.Add(Lease)) {
+	if elsewhere || now.Before(t.startedAt.Add(Lease(t.levels.All))) {
 		return Report{}, false
 	}
-	report := Report{Picture: t.own, Until: now.Add(Lease)}
+	report := Report{Picture: t.own, Until: now.Add(Lease(t.levels.Above))}
 	for _, each := range t.followers {
-		if !each.renewed(now) {
+		if !t.renewed(each, now) {
 			continue
 		}
 		report.Picture = report.plus(each.Picture)
 		report.Height = max(report.Height, each.Height+1)
-		if each.Until.Before(report.Until) {
-			report.Until = each.Until
-		}
 	}
 	t.lender = to
 	if report.Until.After(t.lentUntil) {
@@ -99,17 +105,18 @@
 	return report, true
 }
 
-// renewed tells whether a report is passed on: one of a follower that lives has lost at
-// most a Step at each level. The others would end the whole sum early.
-func (r Report) renewed(now time.Time) bool {
-	return r.Until.Sub(now) >= Lease-time.Duration(r.Height+1)*Step
+// renewed tells whether a report counts here and is passed on: one of a follower that
+// lives has lost at most a Step at each level. Others would outlast their end in the sum,
+// and make it old.
+func (t *Tree) renewed(report Report, now time.Time) bool {
+	return report.Until.Sub(now) >= Lease(t.levels.Above)
 }
 
 // here is what this balancer and those that follow it see.
 func (t *Tree) here(now time.Time) Picture {
 	joined := t.own
 	for _, each := range t.followers {
-		if now.Before(each.Until) {
+		if t.renewed(each, now) {
 			joined = joined.plus(each.Picture)
 		}
 	}
--- a/internal/replication/leads.go
+++ b/internal/replication/leads.go
@@ -18,3 +18,24 @@
 func rankingOf(b *apiv1.Balancer) ranking {
 	return ranking{balancer: b, tier: tier(b), hash: rank(b.GetName())}
 }
+
+// Levels is how many levels of balancers are above this one, and how many there are below
+// the reader.
+func (c *Core) Levels() (above, all int) {
+	t := c.tree
+	above = t.depth(t.place) + t.depth(t.zone)
+	for zone, balancers := range t.zones {
+		all = max(all, t.depth(zone)+t.depth(len(balancers)-1))
+	}
+	return above, all
+}
+
+// depth is how many steps a place is below the first one.
+func (t *tree) depth(place int) int {
+	steps := 0
+	for place > 0 {
+		place = t.parentOf(place)
+		steps++
+	}
+	return steps
+}
--- a/model/check.sh
+++ b/model/check.sh
@@ -70,7 +70,7 @@
 caught members NO_SHOW_AGAIN NO_MISSING NO_COMPARE_ENTRY
 
 holds demand
-caught demand NO_WAIT NO_START_WAIT NO_MINIMUM NO_CLOCK NO_END
+caught demand NO_WAIT NO_START_WAIT NO_REST NO_CLOCK NO_END
 
 if [ "$failures" != 0 ]; then echo "model check: $failures failed"; exit 1; fi
 echo "model check: all hold, all mutants caught"
--- a/model/demand.pml
+++ b/model/demand.pml
@@ -9,6 +9,7 @@
  */
 
 #define LEASE  3
+#define REST   2           /* what a part must have left to go into a sum, and the lease of that */
 #define NOBODY 2
 
 /* All times are what is left of them, in steps of the clock. */
@@ -78,10 +79,10 @@
 	:: told[way] = 0                                              /* it is lost */
 	:: atomic { !summed[way] ->
 		summed[way] = true;
-#ifdef NO_MINIMUM
-		sum[way] = (held[way] > 0 -> LEASE : 0)
+#ifdef NO_REST
+		sum[way] = (held[way] > 0 -> REST : 0)
 #else
-		sum[way] = held[way]
+		sum[way] = (held[way] >= REST -> REST : 0)
 #endif
 	   }
 	od
