--- a/internal/balancer/demand.go
+++ b/internal/balancer/demand.go
@@ -63,12 +63,12 @@
 }
 
 // takeWhole takes what the balancer that is followed says of all.
-func (c *control) takeWhole(news *apiv1.DirectoryNews) {
+func (c *control) takeWhole(news *apiv1.DirectoryNews, now time.Time) {
 	if news.GetDemand() == nil {
 		return
 	}
 	left := c.balancer.started.Add(time.Duration(news.GetLeftAfterNanoseconds()))
-	c.demand.tree.TakeParent(decodePicture(news.GetDemand(), left))
+	c.demand.tree.TakeParent(decodePicture(news.GetDemand(), left), now)
 }
 
 // reportTo returns the report for the balancer that is followed, or nil while it must not
--- a/internal/balancer/learn.go
+++ b/internal/balancer/learn.go
@@ -141,6 +141,6 @@
 	}
 	if peer.Purpose == replication.PurposeFollow {
 		c.heardParent(news, now)
-		c.takeWhole(news)
+		c.takeWhole(news, now)
 	}
 }
--- a/internal/demand/tree.go
+++ b/internal/demand/tree.go
@@ -80,8 +80,18 @@
 	t.followers[from] = report
 }
 
-// TakeParent takes what the balancer that is followed says of all.
-func (t *Tree) TakeParent(all Picture) { t.parent = all }
+// poorer is the part of the balancers that a picture must count to take the place of one
+// on which decisions may still rest.
+const poorer = 0.5
+
+// TakeParent takes what the balancer that is followed says of all. One that has just
+// started, or is cut off, hardly knows more than its own part for a while.
+func (t *Tree) TakeParent(all Picture, now time.Time) {
+	if t.parent.Fresh(now) && float64(all.Balancers) < poorer*float64(t.parent.Balancers) {
+		return
+	}
+	t.parent = all
+}
 
 // Hand lends the parts of this balancer and of its followers to another one, unless they
 // still count elsewhere.
--- a/internal/demand/tree_test.go
+++ b/internal/demand/tree_test.go
@@ -60,7 +60,7 @@
 		require.Equal(t, 1.0, load.Waiting, place)
 	}
 	require.Equal(t, now.Add(-time.Second), all.At, "as old as its oldest part")
-	leaf.TakeParent(all)
+	leaf.TakeParent(all, now)
 	require.Equal(t, all, leaf.Picture(now.Add(time.Second)))
 }
 
@@ -69,7 +69,7 @@
 	now := begin
 	leaf := started("leaf", now)
 	all := part("leaf", now)
-	leaf.TakeParent(all.plus(part("other", now)))
+	leaf.TakeParent(all.plus(part("other", now)), now)
 	require.Equal(t, 2, leaf.Picture(now.Add(FreshFor)).Balancers)
 	later := now.Add(FreshFor + time.Millisecond)
 	leaf.See(part("leaf", later), levelsOf("leaf"))
@@ -107,6 +107,20 @@
 	require.True(t, may)
 }
 
+// While the balancer that was followed is replaced, the next one knows little for some
+// seconds; what is known of all serves as long as it is fresh.
+func TestPoorerPicturesWait(t *testing.T) {
+	now := begin
+	leaf := started("leaf", now)
+	all := part("a", now).plus(part("b", now)).plus(part("leaf", now))
+	leaf.TakeParent(all, now)
+	leaf.TakeParent(part("a", now.Add(time.Second)), now.Add(time.Second))
+	require.Equal(t, 3, leaf.Picture(now.Add(time.Second)).Balancers)
+	late := now.Add(FreshFor + time.Second)
+	leaf.TakeParent(part("a", late), late)
+	require.Equal(t, 1, leaf.Picture(late).Balancers)
+}
+
 func TestReportsInACircleEnd(t *testing.T) {
 	now := begin
 	one, other := started("one", now), started("other", now)
