Demand in metrics and the log, and tests of its ways through a balancer

Pressure, room and asks by pool and zone, the age of the picture and the balancers that it counts; a line when the demand of all becomes known and when no longer.

--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -210,7 +210,8 @@
 	changed = c.observed.judge(c.findings.all(now), c.core.OrderSize()) || changed
 	changed = c.divide(now) || changed
 	if changed {
-		c.balancer.logger.Debug("Control: shares change.", "unwell", len(c.observed.unwell), "demand", c.observed.describe())
+		c.balancer.logger.Debug("Control: shares change.", "unwell", len(c.observed.unwell), "demand", c.observed.describe(),
+			"parts", c.observed.planned)
 	}
 	return changed
 }
--- a/internal/balancer/demand.go
+++ b/internal/balancer/demand.go
@@ -27,6 +27,8 @@
 	// with another call.
 	pace    demand.Pace
 	telling bool
+	// whole is set while the demand of all is known.
+	whole bool
 }
 
 // Picture is the latest picture of demand and room, or nil. Any goroutine may ask.
@@ -46,6 +48,29 @@
 	}
 	picture := d.tree.Picture(now)
 	d.picture.Store(picture.WithRoom(d.room.slots))
+	c.tellWhetherWhole(picture, now)
+}
+
+// wholePart is the part of all balancers that a picture counts that is told to be whole.
+const wholePart = 0.9
+
+// tellWhetherWhole logs when the demand of all becomes known, or is known no longer.
+func (c *control) tellWhetherWhole(picture demand.Picture, now time.Time) {
+	listed := 0
+	for _, count := range c.listed {
+		listed += count
+	}
+	whole := picture.Fresh(now) && float64(picture.Balancers) >= wholePart*float64(listed)
+	if whole == c.demand.whole {
+		return
+	}
+	c.demand.whole = whole
+	message := "Control: demand of all is known."
+	if !whole {
+		message = "Control: demand of all is not known, a part must do."
+	}
+	c.balancer.logger.Info(message, "balancers", picture.Balancers, "listed", listed,
+		"age", picture.Age(now).Round(time.Millisecond))
 }
 
 // takeReport takes the report of a follower. One in another clock means nothing.
--- /dev/null
+++ b/internal/balancer/demand_test.go
@@ -0,0 +1,173 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/demand"
+	"github.com/indigobarrow/indigobarrow/internal/directory"
+	"github.com/indigobarrow/indigobarrow/internal/evidence"
+	"github.com/indigobarrow/indigobarrow/internal/mechanism"
+	"github.com/indigobarrow/indigobarrow/internal/replication"
+	"github.com/indigobarrow/indigobarrow/internal/rule"
+)
+
+func lendingIn(zone string) demand.Place {
+	return demand.Place{Pool: "lending", Zone: demand.Zone(zone)}
+}
+
+// asksOf is the part of a balancer whose clients ask so much a second of lending.
+func asksOf(zone string, asks, waiting float64, at time.Time) demand.Picture {
+	return demand.Picture{At: at, Balancers: 1, Zones: map[demand.Zone]int{demand.Zone(zone): 1},
+		Places: map[demand.Place]demand.Load{lendingIn(zone): {Asks: asks, Waiting: waiting}}}
+}
+
+// pair are a balancer that leads and one that follows it, with its clock known there.
+func pair(t *testing.T, now time.Time) (leads, follows *control) {
+	leads, follows = newTestControl(), newTestControl()
+	leads.balancer.started = now.Add(-3 * time.Minute)
+	first := &apiv1.Balancer{Name: "edge-2", Zone: "maadi", PeerAddress: "10.0.0.2:1", ProcessorCores: 4, LinkMegabits: 1000}
+	follows.core.SetBalancers([]*apiv1.Balancer{follows.balancer.entry(), first}, now)
+	require.True(t, follows.core.Leads("10.0.0.2:1"))
+	follows.testimony.parent = "10.0.0.2:1"
+	follows.testimony.theirs = evidence.NewClock(leads.testimony.clock, leads.clockNow(now), now.Add(-30*time.Millisecond), now)
+	for _, each := range []*control{leads, follows} {
+		each.demand.tree = demand.NewTree(now.Add(-time.Minute))
+	}
+	leads.demand.tree.See(asksOf("maadi", 10, 1, now), demand.Levels{All: 1})
+	follows.demand.tree.See(asksOf("giza", 30, 2, now), demand.Levels{Above: 1, All: 1})
+	return leads, follows
+}
+
+// A report goes up with the call that follows, or in one of its own; the sum comes back with
+// the answer.
+func TestDemandGoesUpAndTheSumComesBack(t *testing.T) {
+	for _, alone := range []bool{false, true} {
+		now := time.Now()
+		leads, follows := pair(t, now)
+		peer := replication.Peer{Address: "10.0.0.2:1", Purpose: replication.PurposeFollow}
+		request := follows.requestTo(peer, 0, now)
+		require.NotNil(t, request.GetDemand())
+		require.Nil(t, follows.requestTo(replication.Peer{Address: "10.0.0.3:1", Purpose: replication.PurposeFollow}, 0, now).GetDemand(),
+			"another one is told nothing while the first may count it")
+		asking := &follower{caller: replication.Caller{Address: "10.0.0.1:1"}, takenAt: now, until: now, takesTestimony: true,
+			reply: make(chan *apiv1.FollowReply, 1)}
+		if alone {
+			leads.takeTestimony(&apiv1.TestifyRequest{FromAddress: "10.0.0.1:1", Demand: request.GetDemand()}, now)
+		} else {
+			asking.demand = request.GetDemand()
+		}
+		leads.take(asking)
+		leads.answerWaiting(now)
+		reply := <-asking.reply
+		follows.takeWhole(&apiv1.DirectoryNews{Demand: reply.GetDemand(), LeftAfterNanoseconds: follows.nanoseconds(now)}, now)
+		all := follows.demand.tree.Picture(now)
+		require.Equal(t, 2, all.Balancers)
+		require.Equal(t, map[demand.Zone]int{"maadi": 1, "giza": 1}, all.Zones)
+		require.Equal(t, 30.0, all.Places[lendingIn("giza")].Asks)
+		require.Equal(t, 10.0, all.Places[lendingIn("maadi")].Asks)
+	}
+}
+
+// A balancer that starts anew has another clock, in which an old report means nothing.
+func TestReportInAnotherClockIsLeftOut(t *testing.T) {
+	now := time.Now()
+	leads, follows := pair(t, now)
+	report := follows.reportTo("10.0.0.2:1", false, now)
+	report.Clock++
+	leads.takeReport("10.0.0.1:1", report, now)
+	require.Equal(t, 1, leads.demand.tree.Picture(now).Balancers)
+}
+
+// A message has a bound, and pools are in it whole or not at all.
+func TestPlacesInAMessageAreBounded(t *testing.T) {
+	made := asksOf("maadi", 1, 1, time.Now())
+	for pool := range 100 {
+		for _, zone := range []demand.Zone{"a", "b", "c"} {
+			made.Places[demand.Place{Pool: demand.Pool(rune('a' + pool)), Zone: zone}] = demand.Load{Asks: float64(pool)}
+		}
+	}
+	encoded := encodePicture(made, made.At)
+	require.LessOrEqual(t, len(encoded.GetPlaces()), placesLimit)
+	counts := make(map[string]int)
+	for _, each := range encoded.GetPlaces() {
+		counts[each.GetPool()]++
+		require.GreaterOrEqual(t, each.GetAsks(), float32(50), "those with the least are left out")
+	}
+	for pool, count := range counts {
+		require.Equal(t, 3, count, pool)
+	}
+}
+
+// divided is a balancer of maadi, which has 4 back ends while giza has 8 and fayum 4, with a
+// picture of what the zones ask.
+func divided(maadi, giza, fayum, waiting float64) (*control, time.Time) {
+	control := newTestControl()
+	now := time.Now()
+	control.addBackends("lending", "maadi", 4, now)
+	control.addBackends("lending", "giza", 8, now)
+	control.addBackends("lending", "fayum", 4, now)
+	control.listed = map[demand.Zone]int{"maadi": 1, "giza": 1, "fayum": 1}
+	control.measureRoom(nil, now)
+	picture := demand.Picture{At: now, Balancers: 3, Zones: map[demand.Zone]int{"maadi": 1, "giza": 1, "fayum": 1},
+		Places: map[demand.Place]demand.Load{lendingIn("maadi"): {Asks: maadi, Waiting: waiting}, lendingIn("giza"): {Asks: giza},
+			lendingIn("fayum"): {Asks: fayum}}}
+	control.demand.picture.Store(picture.WithRoom(control.demand.room.slots))
+	return control, now
+}
+
+func (control *control) weights(now time.Time) map[string]uint32 {
+	weigh := control.weigher(nil, now)
+	made := make(map[string]uint32)
+	for _, zone := range []string{"maadi", "giza", "fayum"} {
+		made[zone] = weigh(directory.BackendEntry{PoolBackend: &apiv1.PoolBackend{Pool: "lending", Zone: zone}})
+	}
+	return made
+}
+
+// A zone in more demand than it has room for sends its surplus to the one that has room, and
+// none to the one that is as full. All others alike got it before, by what one zone saw.
+func TestSurplusGoesWhereRoomIs(t *testing.T) {
+	slots := newTestControl()
+	now := time.Now()
+	slots.addBackends("lending", "maadi", 4, now)
+	slots.measureRoom(nil, now)
+	each := slots.demand.room.slots[lendingIn("maadi")] / 4
+	control, now := divided(200, 100, 200, 20*each)
+	require.True(t, control.divide(now))
+	weights := control.weights(now)
+	require.Equal(t, uint32(rule.MaximumWeight), weights["maadi"])
+	require.LessOrEqual(t, weights["fayum"], uint32(1))
+	// All keep 125 for each four back ends, so of 200 it sends 75 to the eight.
+	require.InDelta(t, rule.MaximumWeight*75/8/(125.0/4), float64(weights["giza"]), 2)
+	require.False(t, control.divide(now), "the table was made with it")
+	control.balancer.off, _ = mechanism.Parse([]string{string(mechanism.DemandShares)})
+	require.True(t, control.divide(now))
+	require.Equal(t, control.weights(now)["giza"], control.weights(now)["fayum"], "without it all others are alike")
+}
+
+// An old picture is no ground to send flows anywhere.
+func TestOldPictureDividesNothing(t *testing.T) {
+	control, now := divided(200, 100, 200, 50)
+	require.True(t, control.divide(now))
+	control.weights(now)
+	require.True(t, control.divide(now.Add(demand.FreshFor+time.Second)))
+	require.Nil(t, control.observed.planned)
+}
+
+// Room is what takes new flows.
+func TestRoomIsWhatTakesNewFlows(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	control.addBackends("lending", "maadi", 4, now)
+	control.addBackends("lending", "giza", 8, now)
+	control.measureRoom(nil, now)
+	whole := control.demand.room.slots[lendingIn("giza")]
+	require.Positive(t, whole)
+	require.InDelta(t, 2, whole/control.demand.room.slots[lendingIn("maadi")], 1e-9)
+	control.measureRoom(map[string]uint64{"giza": 7}, now)
+	require.NotContains(t, control.demand.room.slots, lendingIn("giza"), "an evacuated zone has none")
+}
--- /dev/null
+++ b/internal/balancer/demandmetrics.go
@@ -0,0 +1,41 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/indigobarrow/indigobarrow/internal/demand"
+)
+
+var (
+	pressureDescription = prometheus.NewDesc("indigobarrow_balancer_demand_pressure",
+		"Requests at the back ends of a pool in a zone for each slot that takes new flows; from 1 on they queue.",
+		[]string{"pool", "zone"}, nil)
+	asksDescription = prometheus.NewDesc("indigobarrow_balancer_demand_asks_per_second",
+		"New flows and later requests that the clients of a zone ask of a pool.", []string{"pool", "zone"}, nil)
+	roomDescription = prometheus.NewDesc("indigobarrow_balancer_demand_room_slots",
+		"Slots of a pool in a zone that take new flows.", []string{"pool", "zone"}, nil)
+	pictureAgeDescription = prometheus.NewDesc("indigobarrow_balancer_demand_age_seconds",
+		"Age of the oldest part of the picture of demand.", nil, nil)
+	pictureBalancersDescription = prometheus.NewDesc("indigobarrow_balancer_demand_balancers",
+		"Balancers that the picture of demand counts, by zone.", []string{"zone"}, nil)
+)
+
+// collectDemand gives the picture of demand and room.
+func collectDemand(picture *demand.Picture, gauge func(*prometheus.Desc, float64, ...string)) {
+	if picture == nil || picture.At.IsZero() {
+		return
+	}
+	gauge(pictureAgeDescription, picture.Age(time.Now()).Seconds())
+	for zone, count := range picture.Zones {
+		gauge(pictureBalancersDescription, float64(count), string(zone))
+	}
+	for place, slots := range picture.Room {
+		gauge(roomDescription, slots, string(place.Pool), string(place.Zone))
+		gauge(pressureDescription, picture.Pressure(place), string(place.Pool), string(place.Zone))
+	}
+	for place, load := range picture.Places {
+		gauge(asksDescription, load.Asks, string(place.Pool), string(place.Zone))
+	}
+}
--- a/internal/balancer/metrics.go
+++ b/internal/balancer/metrics.go
@@ -105,6 +105,7 @@
 			gauge(evacuatedDescription, float64(revision), zone)
 		}
 	}
+	collectDemand(balancer.Picture(), gauge)
 	ready := 0.0
 	if balancer.Ready() {
 		ready = 1
