--- a/internal/balancer/demand_test.go
+++ b/internal/balancer/demand_test.go
@@ -1,10 +1,12 @@
 package balancer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/demand"
@@ -86,12 +88,14 @@
 func TestPlacesInAMessageAreBounded(t *testing.T) {
 	made := asksOf("maadi", 1, 1, time.Now())
 	for pool := range 100 {
-		for _, zone := range []demand.Zone{"a", "b", "c"} {
-			made.Places[demand.Place{Pool: demand.Pool(rune('a' + pool)), Zone: zone}] = demand.Load{Asks: float64(pool)}
+		for _, zone := range []demand.Zone{"zone-a", "zone-b", "zone-c"} {
+			made.Places[demand.Place{Pool: demand.Pool(fmt.Sprintf("pool-%04d", pool)), Zone: zone}] = demand.Load{
+				Waiting: 1, Openings: 2, Answers: 3, Refusals: 4, Asks: float64(pool)}
 		}
 	}
 	encoded := encodePicture(made, made.At)
 	require.LessOrEqual(t, len(encoded.GetPlaces()), placesLimit)
+	require.LessOrEqual(t, proto.Size(encoded), 50*placesLimit)
 	counts := make(map[string]int)
 	for _, each := range encoded.GetPlaces() {
 		counts[each.GetPool()]++
