--- a/internal/tokenroute/table.go
+++ b/internal/tokenroute/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
@@ -194,10 +195,6 @@
 // choices is how many back ends are compared by their load for a new flow.
 const choices = 4
 
-// zoneChoices is how many are looked at where the weights alone choose the zone: of those,
-// the ones of the first one's zone are compared.
-const zoneChoices = 2 * choices
-
 // Preference is how willingly a back end is taken for a new flow.
 type Preference uint8
 
@@ -220,10 +217,8 @@
 		return nil
 	}
 	for _, least := range []Preference{Preferred, Avoided} {
-		var leaders [zoneChoices]rule.Candidate
-		count := chosen.rule.Leaders(hash, leaders[:chosen.choices()], func(candidate uint32) bool {
-			return prefer(chosen.backends[candidate-1]) > least
-		})
+		var leaders [choices]rule.Candidate
+		count := chosen.leaders(hash, leaders[:], func(backend *Backend) bool { return prefer(backend) > least })
 		if count > 0 {
 			return chosen.leastUsed(leaders[:count], inUse)
 		}
@@ -231,12 +226,23 @@
 	return nil
 }
 
-// choices is how many back ends are looked at for a new flow.
-func (p *pool) choices() int {
-	if p.byZone {
-		return zoneChoices
+// leaders puts the first back ends in a flow's order into found, as far as they are not left
+// out, and returns how many there are. Where the weights alone choose the zone, all are of
+// the zone of the first one.
+func (p *pool) leaders(hash uint64, found []rule.Candidate, except func(*Backend) bool) int {
+	count := p.rule.Leaders(hash, found, func(candidate uint32) bool { return except(p.backends[candidate-1]) })
+	if !p.byZone || count < 2 {
+		return count
+	}
+	zone := p.backends[found[0].Backend-1].Zone
+	elsewhere := func(each rule.Candidate) bool { return p.backends[each.Backend-1].Zone != zone }
+	if !slices.ContainsFunc(found[:count], elsewhere) {
+		return count
 	}
-	return choices
+	return p.rule.Leaders(hash, found, func(candidate uint32) bool {
+		backend := p.backends[candidate-1]
+		return backend.Zone != zone || except(backend)
+	})
 }
 
 // poolFor returns the pool of a new flow, or nil.
@@ -280,9 +286,6 @@
 	bestUse, bestWeight := 0, 1
 	for _, candidate := range candidates {
 		backend := p.backends[candidate.Backend-1]
-		if p.byZone && best != nil && backend.Zone != best.Zone {
-			continue
-		}
 		use, weight := inUse(backend)+1, int(candidate.Weight)
 		if best == nil || use*bestWeight < bestUse*weight {
 			best, bestUse, bestWeight = backend, use, weight
