A planned pool whose entries have all vanished no longer ends the balancer

A picture of demand outlives the last entry of a pool by seconds, while its back ends still take new flows by EmptyGrace or Lapse. zoneWeight then read the counts of a pool that has none: a nil dereference that ended the process. Such a pool is weighed as without a plan, all back ends alike.

--- a/internal/balancer/weigh.go
+++ b/internal/balancer/weigh.go
@@ -61,10 +61,11 @@
 	}
 }
 
-// zoneWeight is the weight, 0 to 1, of a pool's back ends in a zone.
+// zoneWeight is the weight, 0 to 1, of a pool's back ends in a zone. The pool is nil where
+// all entries have vanished or lapsed, and those that were take new flows for a while.
 func (c *control) zoneWeight(backend directory.BackendEntry, pool *poolZones) float64 {
 	place := demand.Place{Pool: demand.Pool(backend.GetPool()), Zone: demand.Zone(backend.GetZone())}
-	if parts := c.observed.parts[place.Pool]; parts != nil && (pool.localBackends == 0 || pool.localBackends >= localEnough) {
+	if parts := c.observed.parts[place.Pool]; parts != nil && pool != nil && (pool.localBackends == 0 || pool.localBackends >= localEnough) {
 		return c.partWeight(parts, place)
 	}
 	if place.Zone == demand.Zone(c.balancer.settings.Load().GetZone()) {
