The zone of new flows is chosen by the weights only where a plan made them

ByZone was set for all pools of a table as soon as any pool was planned, so it changed the choice for pools with a policy, with one or two back ends in the zone, without a plan, and in the spread after a start. It is now told per pool, where the weights are made. The test of the table names its pool instead of all; its bounds are as they were.

--- a/internal/balancer/divide_test.go
+++ b/internal/balancer/divide_test.go
@@ -9,6 +9,8 @@
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/demand"
+	"github.com/indigobarrow/indigobarrow/internal/flow"
+	"github.com/indigobarrow/indigobarrow/internal/tokenroute"
 )
 
 // served is a balancer of maadi with a table, where lending has back ends in some zones.
@@ -57,3 +59,64 @@
 	require.NotNil(t, control.observed.planned)
 	require.NotPanics(t, func() { control.renewTable(now) })
 }
+
+// keptAtHome is the part of new flows that stays in the zone while its back ends are in use
+// and all others are idle.
+func keptAtHome(t *testing.T, control *control) float64 {
+	table := control.balancer.table.Load()
+	route := table.Route(flow.Address{IP: [4]byte{0, 0, 0, 1}, Port: 443, Protocol: flow.ProtocolTCP})
+	require.NotNil(t, route)
+	kept := 0
+	const flows = 500
+	for hash := range uint64(flows) {
+		chosen := route.Choose(hash*0x9e3779b97f4a7c15, func(*tokenroute.Backend) tokenroute.Preference { return tokenroute.Preferred },
+			func(backend *tokenroute.Backend) int {
+				if backend.Zone == "maadi" {
+					return 1000
+				}
+				return 0
+			})
+		if chosen.Zone == "maadi" {
+			kept++
+		}
+	}
+	return float64(kept) / flows
+}
+
+// The weights choose the zone only where they were made by a plan: elsewhere the least used
+// back end of all zones is taken, as without the picture.
+func TestOnlyPlansChooseTheZone(t *testing.T) {
+	now := time.Now()
+	planned := served(now, map[string]int{"maadi": 4, "giza": 4})
+	planned.plan(now)
+	planned.renewTable(now)
+	require.Greater(t, keptAtHome(t, planned), 0.9)
+
+	t.Run("few in the zone", func(t *testing.T) {
+		few := served(now, map[string]int{"maadi": localEnough - 1, "giza": 6})
+		few.plan(now)
+		require.NotNil(t, few.observed.planned)
+		few.renewTable(now)
+		require.Zero(t, keptAtHome(t, few))
+	})
+	t.Run("policy of its own", func(t *testing.T) {
+		own := served(now, map[string]int{"maadi": 4, "giza": 4})
+		own.known.Apply(policyBatch(6, "lending", "1.0"), now)
+		own.plan(now)
+		own.renewTable(now)
+		require.Less(t, keptAtHome(t, own), 0.1)
+	})
+	t.Run("spread after a start", func(t *testing.T) {
+		young := served(now, map[string]int{"maadi": 4, "giza": 4})
+		young.firstAt = now
+		young.plan(now)
+		young.renewTable(now)
+		require.Less(t, keptAtHome(t, young), 0.1)
+	})
+	t.Run("no plan of this pool", func(t *testing.T) {
+		other := served(now, map[string]int{"maadi": 4, "giza": 4})
+		other.observed.planned = map[demand.Pool]map[demand.Zone]float64{"covers": {"maadi": 1}}
+		other.renewTable(now)
+		require.Zero(t, keptAtHome(t, other)-keptAtHome(t, served(now, map[string]int{"maadi": 4, "giza": 4})))
+	})
+}
--- a/internal/balancer/renew.go
+++ b/internal/balancer/renew.go
@@ -19,12 +19,13 @@
 	c.rememberPools(now)
 	evacuated := c.evacuated()
 	c.measureRoom(evacuated, now)
+	weights := c.newWeights(evacuated, now)
 	table := tokenroute.NewTable(c.known, tokenroute.Options{
-		Weigh:      c.weigher(evacuated, now),
+		Weigh:      weights.of,
 		Evacuated:  evacuated,
 		Warm:       c.newWarming(now).of,
 		Former:     c.formerPools(now),
-		ByZone:     c.observed.planned != nil,
+		ByZone:     weights.byZone,
 		AdmitAll:   now.Sub(c.firstAt) < c.flowLife(),
 		Lapse:      c.lapse(),
 		EmptyGrace: c.emptyGrace(),
--- a/internal/balancer/weigh.go
+++ b/internal/balancer/weigh.go
@@ -33,45 +33,84 @@
 	stateLeaving = "leaving"
 )
 
-// weigher gives the relative share of new flows that a back end takes: by the
-// policy of its pool, else by the default policy, else by its zone and what is
+// weights are the relative shares of new flows that back ends take in one table: by the
+// policy of their pool, else by the default policy, else by their zone and what is
 // observed. A policy that fails is passed over, so that a bad program never stops
 // traffic.
-func (c *control) weigher(evacuated map[string]uint64, now time.Time) func(directory.BackendEntry) uint32 {
+type weights struct {
+	control *control
+	zone    string
+	// spread is set while all zones take new flows alike.
+	spread bool
+	zones  map[string]*poolZones
+}
+
+// newWeights collects what the weights of a table depend on.
+func (c *control) newWeights(evacuated map[string]uint64, now time.Time) *weights {
 	zone := c.balancer.settings.Load().GetZone()
 	off := c.balancer.off
-	spread := now.Sub(c.firstAt) < spreadTime && !off.Has(mechanism.SpreadAfterStart) || off.Has(mechanism.LocalZone)
-	zones := c.zonesOfPools(zone, evacuated)
-	c.observed.startTable(zones)
-	return func(backend directory.BackendEntry) uint32 {
-		local := backend.GetZone() == zone
-		if program := c.programs.find(c.known, backend.GetPool()); program != nil {
-			if weight, ok := c.evaluate(program, backend, local); ok {
-				return weight
-			}
-		}
-		weight := 1.0
-		if !spread {
-			weight = c.zoneWeight(backend, zones[backend.GetPool()])
-		}
-		if !off.Has(mechanism.Health) {
-			weight *= c.observed.healthWeight(backend.GetNumber())
+	made := &weights{
+		control: c,
+		zone:    zone,
+		spread:  now.Sub(c.firstAt) < spreadTime && !off.Has(mechanism.SpreadAfterStart) || off.Has(mechanism.LocalZone),
+		zones:   c.zonesOfPools(zone, evacuated),
+	}
+	c.observed.startTable(made.zones)
+	return made
+}
+
+// weigher gives the weight of a back end.
+func (c *control) weigher(evacuated map[string]uint64, now time.Time) func(directory.BackendEntry) uint32 {
+	return c.newWeights(evacuated, now).of
+}
+
+// of is the weight of a back end.
+func (w *weights) of(backend directory.BackendEntry) uint32 {
+	c := w.control
+	if program := c.programs.find(c.known, backend.GetPool()); program != nil {
+		if weight, ok := c.evaluate(program, backend, backend.GetZone() == w.zone); ok {
+			return weight
 		}
-		return uint32(math.Ceil(weight * rule.MaximumWeight))
 	}
+	weight := 1.0
+	if !w.spread {
+		weight = w.zoneWeight(backend)
+	}
+	if !c.balancer.off.Has(mechanism.Health) {
+		weight *= c.observed.healthWeight(backend.GetNumber())
+	}
+	return uint32(math.Ceil(weight * rule.MaximumWeight))
+}
+
+// byZone tells whether the weights alone choose the zone of a pool's new flows: where they
+// are the parts that were planned. A policy, the spread after a start, and few back ends in
+// the zone are weighed otherwise, and the least used of all zones is taken there.
+func (w *weights) byZone(pool string) bool {
+	c := w.control
+	return !w.spread && c.programs.find(c.known, pool) == nil && w.plannedParts(pool) != nil
+}
+
+// plannedParts are the parts of a pool's new flows for each zone, or nil where none are
+// planned, the zone has too few back ends of its own, or all entries have vanished or
+// lapsed, and those that were take new flows for a while.
+func (w *weights) plannedParts(name string) map[demand.Zone]float64 {
+	pool := w.zones[name]
+	if pool == nil || pool.localBackends > 0 && pool.localBackends < localEnough {
+		return nil
+	}
+	return w.control.observed.parts[demand.Pool(name)]
 }
 
-// zoneWeight is the weight, 0 to 1, of a pool's back ends in a zone. The pool is nil where
-// all entries have vanished or lapsed, and those that were take new flows for a while.
-func (c *control) zoneWeight(backend directory.BackendEntry, pool *poolZones) float64 {
-	place := demand.Place{Pool: demand.Pool(backend.GetPool()), Zone: demand.Zone(backend.GetZone())}
-	if parts := c.observed.parts[place.Pool]; parts != nil && pool != nil && (pool.localBackends == 0 || pool.localBackends >= localEnough) {
-		return c.partWeight(parts, place)
+// zoneWeight is the weight, 0 to 1, of a pool's back ends in a zone.
+func (w *weights) zoneWeight(backend directory.BackendEntry) float64 {
+	if parts := w.plannedParts(backend.GetPool()); parts != nil {
+		place := demand.Place{Pool: demand.Pool(backend.GetPool()), Zone: demand.Zone(backend.GetZone())}
+		return w.control.partWeight(parts, place)
 	}
-	if place.Zone == demand.Zone(c.balancer.settings.Load().GetZone()) {
+	if backend.GetZone() == w.zone {
 		return 1
 	}
-	return c.remoteWeight(backend.GetPool(), pool)
+	return w.control.remoteWeight(backend.GetPool(), w.zones[backend.GetPool()])
 }
 
 // poolZones is what a pool has in the balancer's zone and in the others.
--- a/internal/tokenroute/asked_test.go
+++ b/internal/tokenroute/asked_test.go
@@ -93,7 +93,7 @@
 	}
 	for _, byZone := range []bool{false, true} {
 		made := options()
-		made.ByZone = byZone
+		made.ByZone = func(pool string) bool { return byZone && pool == "lending" }
 		made.Weigh = func(entry directory.BackendEntry) uint32 { return weigh(entry.GetZone()) }
 		table, flows := NewTable(known, made), NewFlows(mechanism.Set{}).InZone("maadi")
 		there := 0
--- a/internal/tokenroute/builder.go
+++ b/internal/tokenroute/builder.go
@@ -118,7 +118,7 @@
 	if made := b.pools[name]; made != nil {
 		return made
 	}
-	made := &pool{name: name}
+	made := &pool{name: name, byZone: b.options.ByZone != nil && b.options.ByZone(name)}
 	var candidates []rule.Candidate
 	for _, entry := range b.eligible(made) {
 		made.backends = append(made.backends, b.made[entry.GetId()])
--- a/internal/tokenroute/table.go
+++ b/internal/tokenroute/table.go
@@ -102,10 +102,11 @@
 	// EmptyGrace is for how long back ends whose entries vanished without a
 	// notice may take new flows when their pool has no other.
 	EmptyGrace time.Duration
-	// ByZone chooses the zone of a new flow by the weights alone, and only then the back
-	// end that is least in use. The least used among those of several zones would be taken
-	// from zones of small weights hardly ever, and their part would not be what was planned.
-	ByZone bool
+	// ByZone names the pools where the weights alone choose the zone of a new flow, and only
+	// then the back end that is least in use. The least used among those of several zones
+	// would be taken from zones of small weights hardly ever, and their part would not be
+	// what was planned. Nil is no pool.
+	ByZone func(pool string) bool
 	Now    time.Time
 }
 
@@ -140,9 +141,6 @@
 		address := AddressOf(route)
 		table.routes[address] = builder.route(route, options.Former[address])
 	}
-	for _, each := range builder.pools {
-		each.byZone = options.ByZone
-	}
 	return table
 }
 
