Early packets: first ones wait for their copy only, none is refused, the oldest makes room

Cause: the copy of a first packet comes after 200 ms and may open the flow elsewhere, but kept ones were sent on up to 400 ms later; a kept packet could be refused after its flow had opened by another balancer; when full, the oldest stayed; an acknowledgement that had waited proved its back end alive at the time of sending on.

Red, each with its change taken out: TestEarlyPacketsAreBounded (oldest), ...FirstPacketsWaitForTheirCopyOnly, TestNoEarlyPacketIsRefused, TestEarlyAcknowledgementProvesItsOwnTimeOnly, ...sComeFirst. The wiring in renewTable is held now: TestPacketsBeforeTheFirstTableAreSentByIt fails without its call of firstTable.

--- a/internal/balancer/early.go
+++ b/internal/balancer/early.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -8,10 +9,14 @@
 )
 
 const (
-	// earlyAge is how long a packet is kept that came before the first table. Clients
-	// repeat a first packet after 200 and 600 ms, and a request after 200, 600 and
-	// 1400 ms: whoever sent it earlier has sent a copy since, or will soon.
+	// earlyAge is how long a packet of an open flow is kept that came before the first
+	// table. Clients repeat a request after 200, 600 and 1400 ms: whoever sent it
+	// earlier has sent a copy since, or will soon.
 	earlyAge = 400 * time.Millisecond
+	// earlyFirstAge is the same for a packet that opens a flow. Its copy after 200 ms
+	// may have opened the flow by another balancer, and a back end would take this one
+	// for one more flow.
+	earlyFirstAge = 200 * time.Millisecond
 	// earlyLimit bounds the packets kept, with their data 300 KB. The busiest of 35
 	// balancers got 60 within 400 ms after all had lost power.
 	earlyLimit = 256
@@ -40,13 +45,14 @@
 	e.expire(now)
 	for place := range e.packets {
 		if e.packets[place].sameAs(packet) {
-			e.packets = append(e.packets[:place], e.packets[place+1:]...)
+			e.packets = slices.Delete(e.packets, place, place+1)
 			break
 		}
 	}
 	if len(e.packets) >= earlyLimit {
+		// The client of the oldest repeats it first.
+		e.packets = slices.Delete(e.packets, 0, 1)
 		e.lost.Add(1)
-		return
 	}
 	e.packets = append(e.packets, earlyPacket{packet: packet, datagram: append([]byte(nil), datagram...), cameAt: now})
 }
@@ -58,23 +64,43 @@
 		known.Length == packet.Length && known.Closing == packet.Closing
 }
 
-// take returns what is kept, the oldest first, and keeps nothing.
+// take returns what is kept, the oldest first, and keeps nothing. Acknowledgements
+// come before the others: they are decided as of when they came.
 func (e *early) take(now time.Time) []earlyPacket {
 	e.expire(now)
 	taken := e.packets
 	e.packets = nil
+	slices.SortStableFunc(taken, func(a, b earlyPacket) int { return a.order() - b.order() })
 	e.sent.Add(uint64(len(taken)))
 	return taken
 }
 
+func (e earlyPacket) order() int {
+	if e.acknowledges() {
+		return 0
+	}
+	return 1
+}
+
+// acknowledges tells whether the packet only says that its client has received
+// something.
+func (e earlyPacket) acknowledges() bool {
+	return !e.packet.First && !e.packet.Closing && e.packet.Length == 0
+}
+
 // waits tells whether anything is kept.
 func (e *early) waits() bool { return len(e.packets) > 0 }
 
 func (e *early) expire(now time.Time) {
-	old := 0
-	for old < len(e.packets) && now.Sub(e.packets[old].cameAt) >= earlyAge {
-		old++
+	before := len(e.packets)
+	e.packets = slices.DeleteFunc(e.packets, func(p earlyPacket) bool { return now.Sub(p.cameAt) >= p.limit() })
+	e.lost.Add(uint64(before - len(e.packets)))
+}
+
+// limit is how long the packet may wait.
+func (e earlyPacket) limit() time.Duration {
+	if e.packet.First {
+		return earlyFirstAge
 	}
-	e.packets = e.packets[old:]
-	e.lost.Add(uint64(old))
+	return earlyAge
 }
--- a/internal/balancer/early_test.go
+++ b/internal/balancer/early_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"testing"
@@ -15,6 +16,7 @@
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/directory"
+	"github.com/indigobarrow/indigobarrow/internal/evidence"
 	"github.com/indigobarrow/indigobarrow/internal/flow"
 	"github.com/indigobarrow/indigobarrow/internal/mechanism"
 	"github.com/indigobarrow/indigobarrow/internal/rule"
@@ -32,10 +34,106 @@
 		kept.keep(earlyRequest(1, sequence), []byte{1}, now)
 	}
 	require.EqualValues(t, 3, kept.lost.Load())
-	require.Len(t, kept.take(now.Add(earlyAge-1)), earlyLimit)
+	taken := kept.take(now.Add(earlyAge - 1))
+	require.Len(t, taken, earlyLimit)
+	require.EqualValues(t, 3, taken[0].packet.Sequence, "the oldest made room")
+	require.EqualValues(t, earlyLimit+2, taken[earlyLimit-1].packet.Sequence)
 	require.False(t, kept.waits())
 }
 
+// The copy of a first packet comes after 200 ms, and may open the flow elsewhere.
+func TestEarlyFirstPacketsWaitForTheirCopyOnly(t *testing.T) {
+	var kept early
+	now := time.Now()
+	first := earlyRequest(1, 1)
+	first.First, first.Length = true, 0
+	kept.keep(first, []byte{1}, now)
+	kept.keep(earlyRequest(2, 1), []byte{2}, now)
+	taken := kept.take(now.Add(200 * time.Millisecond))
+	require.Len(t, taken, 1)
+	require.Equal(t, []byte{2}, taken[0].datagram)
+	require.EqualValues(t, 1, kept.lost.Load())
+}
+
+// earlyTraffic is a traffic without a goroutine of its own.
+func earlyTraffic(t *testing.T, codec Codec) *traffic {
+	made := &Balancer{
+		logger:  slog.New(slog.NewTextHandler(io.Discard, nil)),
+		started: time.Now(), outside: Outside{Codec: codec},
+	}
+	made.settings.Store(testSettings())
+	made.traffic = newTraffic(made, listenLoopback(t))
+	return made.traffic
+}
+
+// refusingCodec counts what is refused.
+type refusingCodec struct {
+	plainCodec
+	refused *int
+}
+
+func (c refusingCodec) Refuse(output []byte, _ tokenroute.Packet) []byte {
+	*c.refused++
+	return output
+}
+
+func (c refusingCodec) Client(tokenroute.Packet) netip.AddrPort {
+	return netip.MustParseAddrPort("127.0.0.1:9")
+}
+
+// A packet that has waited is not refused: its client may have opened the flow by
+// another balancer meanwhile, and the refusal would end it.
+func TestNoEarlyPacketIsRefused(t *testing.T) {
+	refused := 0
+	traffic := earlyTraffic(t, refusingCodec{refused: &refused})
+	now := time.Now()
+	table := earlyTable(netip.MustParseAddrPort("127.0.0.1:9"))
+	nowhere := tokenroute.Packet{Key: flow.Key{Source: [4]byte{100, 64, 0, 1}, Destination: [4]byte{198, 18, 0, 1},
+		DestinationPort: 444, Protocol: flow.ProtocolTCP}, First: true}
+	traffic.early.keep(nowhere, []byte{1}, now)
+	traffic.sendEarly(table, now.Add(time.Millisecond))
+	require.Zero(t, refused)
+	require.EqualValues(t, 1, traffic.counts[tokenroute.ReasonNoRoute].Load())
+	traffic.pass(nowhere, []byte{1}, table, now.Add(2*time.Millisecond))
+	require.Equal(t, 1, refused, "one that comes now is")
+}
+
+// They are decided as of when they came, and time must not run back after that.
+func TestEarlyAcknowledgementsComeFirst(t *testing.T) {
+	var kept early
+	now := time.Now()
+	acknowledgement := earlyRequest(2, 1)
+	acknowledgement.Length = 0
+	kept.keep(earlyRequest(1, 1), []byte{1}, now)
+	kept.keep(acknowledgement, []byte{2}, now)
+	kept.keep(earlyRequest(3, 1), []byte{3}, now)
+	var order []byte
+	for _, each := range kept.take(now) {
+		order = append(order, each.datagram...)
+	}
+	require.Equal(t, []byte{2, 1, 3}, order)
+}
+
+// An acknowledgement that has waited does not answer a witness of what came after it.
+func TestEarlyAcknowledgementProvesItsOwnTimeOnly(t *testing.T) {
+	traffic := earlyTraffic(t, plainCodec{})
+	came := time.Now()
+	table := earlyTable(netip.MustParseAddrPort("127.0.0.1:9"))
+	key := flow.Key{Source: [4]byte{100, 64, 0, 1}, Destination: [4]byte{198, 18, 0, 1}, DestinationPort: 443, Protocol: flow.ProtocolTCP}
+	request := tokenroute.Packet{Key: key, Token: tokenroute.TokenOf(7), Sequence: 1, Length: 1}
+	traffic.early.keep(request, []byte{1}, came)
+	traffic.early.keep(tokenroute.Packet{Key: key, Token: tokenroute.TokenOf(7), Acknowledged: 5}, []byte{1}, came.Add(time.Millisecond))
+	now := came.Add(300 * time.Millisecond)
+	traffic.sendEarly(table, now)
+	require.EqualValues(t, 2, traffic.counts[tokenroute.ReasonToken].Load())
+	hear := func(sentAt time.Time) []evidence.Statement {
+		traffic.flows.Hear(evidence.Witness{Backend: 7, Client: 1, Zone: "maadi", SentAt: sentAt}, table, now)
+		return traffic.flows.TakeStatements()
+	}
+	require.Empty(t, hear(came.Add(100*time.Millisecond)))
+	require.Len(t, hear(came), 1, "it answers what was sent before it came")
+}
+
 func TestEarlyPacketsGrowOld(t *testing.T) {
 	var kept early
 	now := time.Now()
@@ -87,15 +185,20 @@
 // earlyTable routes everything to one back end.
 func earlyTable(target netip.AddrPort) *tokenroute.Table {
 	known := directory.New(time.Minute)
+	known.Apply(earlyBatch(target), time.Now())
+	return tokenroute.NewTable(known, tokenroute.Options{
+		Weigh: func(directory.BackendEntry) uint32 { return rule.MaximumWeight }, Now: time.Now()})
+}
+
+// earlyBatch is a directory with one back end.
+func earlyBatch(target netip.AddrPort) *apiv1.DirectoryBatch {
 	address := target.Addr().As4()
-	known.Apply(&apiv1.DirectoryBatch{Revision: 2, Changes: []*apiv1.DirectoryChange{
+	return &apiv1.DirectoryBatch{Revision: 2, Complete: true, Changes: []*apiv1.DirectoryChange{
 		{Revision: 1, Entry: &apiv1.DirectoryChange_Routes{Routes: &apiv1.RouteTable{Version: 1, Routes: []*apiv1.ServiceRoute{
 			{Name: "r", Address: 0xc6120001, Port: 443, Pools: []*apiv1.PoolShare{{Pool: "one", Weight: 1}}}}}}},
 		{Revision: 2, Entry: &apiv1.DirectoryChange_Backend{Backend: &apiv1.PoolBackend{Id: "i-7", Number: 7,
 			Pool: "one", Address: binary.BigEndian.Uint32(address[:]), Port: uint32(target.Port())}}},
-	}}, time.Now())
-	return tokenroute.NewTable(known, tokenroute.Options{
-		Weigh: func(directory.BackendEntry) uint32 { return rule.MaximumWeight }, Now: time.Now()})
+	}}
 }
 
 func listenLoopback(t *testing.T) *net.UDPConn {
@@ -120,6 +223,7 @@
 			made.settings.Store(testSettings())
 			socket, backend, client := listenLoopback(t), listenLoopback(t), listenLoopback(t)
 			made.traffic = newTraffic(made, socket)
+			made.control = newControl(made, rand.New(rand.NewPCG(1, 2)))
 			ctx, cancel := context.WithCancel(context.Background())
 			ended := make(chan error, 1)
 			go func() { ended <- made.traffic.run(ctx) }()
@@ -128,8 +232,11 @@
 			require.NoError(t, err)
 			require.Eventually(t, func() bool { return made.traffic.counts[tokenroute.ReasonNoTable].Load() == 1 },
 				time.Second, time.Millisecond)
-			made.table.Store(earlyTable(backend.LocalAddr().(*net.UDPAddr).AddrPort()))
-			made.traffic.firstTable()
+			now := time.Now()
+			batch := earlyBatch(backend.LocalAddr().(*net.UDPAddr).AddrPort())
+			made.control.learn(&apiv1.DirectoryNews{Batch: batch, AsOfNanoseconds: made.control.nanoseconds(now)}, now)
+			made.control.renewTable(now)
+			require.NotNil(t, made.table.Load())
 			require.NoError(t, backend.SetReadDeadline(time.Now().Add(200*time.Millisecond)))
 			size, _, err := backend.ReadFromUDPAddrPort(make([]byte, 16))
 			if without == "" {
--- a/internal/balancer/metrics.go
+++ b/internal/balancer/metrics.go
@@ -39,7 +39,7 @@
 	flowsDescription = prometheus.NewDesc("indigobarrow_balancer_flow_events_total",
 		"First packets sent again to another back end, back ends that did not answer in time, and back ends judged dead.", []string{"event"}, nil)
 	earlyDescription = prometheus.NewDesc("indigobarrow_balancer_early_packets_total",
-		"Packets that came before the first table by what became of them.", []string{"outcome"}, nil)
+		"Packets that came before the first table by what became of them. Each is counted as no_table when it came, and those sent once more by what the table decided.", []string{"outcome"}, nil)
 	callsDescription = prometheus.NewDesc("indigobarrow_balancer_calls_total",
 		"Calls to the store and to peers by outcome.", []string{"to", "outcome"}, nil)
 	purposesDescription = prometheus.NewDesc("indigobarrow_balancer_store_calls_total",
--- a/internal/balancer/traffic.go
+++ b/internal/balancer/traffic.go
@@ -182,10 +182,25 @@
 	t.balancer.logger.Info("Traffic: packets from before the first table are sent on.", "packets", len(kept),
 		"lost", t.early.lost.Load())
 	for _, each := range kept {
-		t.pass(each.packet, each.datagram, table, now)
+		t.passEarly(each, table, now)
 	}
 }
 
+// passEarly decides a packet that has waited for the first table. It refuses nothing:
+// the client may have opened the flow by another balancer meanwhile. An acknowledgement
+// proves that its back end lived when it came, not now.
+func (t *traffic) passEarly(kept earlyPacket, table *tokenroute.Table, now time.Time) {
+	if kept.acknowledges() {
+		now = kept.cameAt
+	}
+	decision := t.flows.Decide(table, kept.packet, now)
+	if decision.Verdict == tokenroute.Refuse {
+		decision.Verdict = tokenroute.Drop
+	}
+	t.log.note(kept.packet, t.balancer.outside.Codec.RequestID(kept.datagram), decision, table, now)
+	t.carryOut(decision, kept.packet, kept.datagram)
+}
+
 // carryOut does what was decided on a packet.
 func (t *traffic) carryOut(decision tokenroute.Decision, packet tokenroute.Packet, datagram []byte) {
 	t.counts[decision.Reason].Add(1)
