A balancer through which new flows open late steps aside

Cause: routers hash over all balancers that are ready, whatever each can carry.

Now: a core without I/O (internal/aside) looks each half second at how long new flows took to open, against what is usual. Three bad looks, less the good ones among them, and the balancer says it is not ready for 4 s, doubled up to 32 s by relapses. Less than half of a zone goes: a quarter by its place in an order that all know, the others by a picture of who struggles, which travels with the calls to peers that are made anyway; nobody where more than two thirds struggle.

--- /dev/null
+++ b/internal/aside/aside_test.go
@@ -0,0 +1,287 @@
+package aside
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// machine is a balancer in virtual time. What it opens in each look is given.
+type machine struct {
+	core   *Core
+	counts Counts
+	zone   Zone
+	now    time.Time
+	// left counts how often it stepped aside.
+	left int
+}
+
+func newMachine(place, size int) *machine {
+	return &machine{core: New(), zone: Zone{Place: place, Size: size, Heard: true}, now: time.Unix(1000, 0)}
+}
+
+// opened are flows that opened within so many milliseconds each.
+func opened(prompt, slow, missed uint64) Counts {
+	made := Counts{Missed: missed}
+	made.Opened[StepOf(2*time.Millisecond)] = prompt
+	made.Opened[StepOf(60*time.Millisecond)] = slow
+	return made
+}
+
+// What a machine sees in a look: one that is well, one whose packets wait, one beside
+// back ends of which half answer nobody, and one to whom nobody answers.
+var (
+	well      = opened(12, 0, 0)
+	slow      = opened(2, 7, 3)
+	halfDead  = opened(6, 0, 6)
+	unheard   = opened(0, 0, 12)
+	nothing   = Counts{}
+	oneOfFour = opened(9, 3, 0)
+)
+
+// pass lets time pass in which each look sees the same. One that is aside sees nothing.
+func (m *machine) pass(each Counts, length time.Duration) {
+	for end := m.now.Add(length); m.now.Before(end); m.now = m.now.Add(LookInterval) {
+		if !m.core.Aside() {
+			for step, count := range each.Opened {
+				m.counts.Opened[step] += count
+			}
+			m.counts.Missed += each.Missed
+		}
+		if m.core.Look(m.counts, m.zone, m.now) && m.core.Aside() {
+			m.left++
+		}
+	}
+}
+
+func TestSlowMachineStepsAsideAndReturns(t *testing.T) {
+	machine := newMachine(0, 12)
+	machine.pass(well, 10*time.Second)
+	require.False(t, machine.core.Aside())
+	machine.pass(slow, looksNeeded*LookInterval)
+	require.False(t, machine.core.Aside(), "the others may not have heard yet")
+	machine.pass(slow, LookInterval)
+	require.True(t, machine.core.Aside())
+	require.Equal(t, Seen{Prompt: 2, Slow: 7, Missed: 3}, machine.core.Seen(), "the log says why")
+	machine.pass(nothing, shortest)
+	require.False(t, machine.core.Aside())
+	machine.pass(well, time.Minute)
+	require.Equal(t, 1, machine.left)
+}
+
+// Clients repeat after 200 ms, so a machine that stands still for a while has one or
+// two looks full of late openings.
+func TestMachineThatStalledOnceStays(t *testing.T) {
+	for looks := range 3 { // up to a second
+		machine := newMachine(0, 12)
+		machine.pass(well, 5*time.Second)
+		for range 20 {
+			machine.pass(slow, time.Duration(looks)*LookInterval)
+			machine.pass(well, 5*time.Second)
+		}
+		require.Zero(t, machine.left)
+	}
+}
+
+// A narrow link is full by fits and starts: two bad looks for each good one are enough,
+// one for each is not.
+func TestBadLooksOutweighGoodOnes(t *testing.T) {
+	machine := newMachine(0, 12)
+	machine.pass(well, 5*time.Second)
+	for range 60 {
+		machine.pass(slow, LookInterval)
+		machine.pass(well, LookInterval)
+	}
+	require.Zero(t, machine.left)
+	for range 3 {
+		machine.pass(slow, 2*LookInterval)
+		machine.pass(well, LookInterval)
+	}
+	require.Equal(t, 1, machine.left)
+}
+
+// A look without a new flow says nothing, and ends no series.
+func TestQuietLooksSayNothing(t *testing.T) {
+	machine := newMachine(0, 12)
+	machine.pass(well, 5*time.Second)
+	for range looksNeeded {
+		machine.pass(nothing, 3*LookInterval)
+		require.False(t, machine.core.Aside())
+		machine.pass(slow, LookInterval)
+	}
+	require.True(t, machine.core.Aside())
+}
+
+func TestBackendsThatAnswerNobodyAreNotItsOwnFault(t *testing.T) {
+	for _, each := range []Counts{halfDead, unheard, oneOfFour, opened(0, 2, 0)} {
+		machine := newMachine(0, 12)
+		machine.pass(each, time.Minute)
+		require.Zero(t, machine.left, "%+v", each)
+	}
+}
+
+// Callers that are far away take long to open a flow through anybody.
+func TestWhatIsUsualIsNotSlow(t *testing.T) {
+	machine := newMachine(0, 12)
+	machine.pass(opened(0, 12, 0), time.Minute)
+	require.Zero(t, machine.left)
+	far := Counts{}
+	far.Opened[StepOf(130*time.Millisecond)] = 12
+	machine.pass(far, (looksNeeded+1)*LookInterval)
+	require.True(t, machine.core.Aside())
+}
+
+func TestMachineThatStaysSlowDoesNotFlap(t *testing.T) {
+	machine := newMachine(0, 12)
+	machine.pass(well, 5*time.Second)
+	machine.pass(slow, 2*time.Minute)
+	require.LessOrEqual(t, machine.left, 7)
+	require.Equal(t, longest, machine.core.Stay())
+	machine.pass(well, longest+relapseTime+time.Second)
+	machine.pass(slow, (looksNeeded+1)*LookInterval)
+	require.Equal(t, shortest, machine.core.Stay(), "an old relapse is forgotten")
+}
+
+// fleet is a zone in virtual time, with messages that take a while.
+type fleet struct {
+	machines []*machine
+	pictures []Picture
+	// under are statements under way, by the looks that they still take.
+	under map[int][]Statement
+}
+
+// deliveryLooks is the longest that a statement is under way: two calls up and down a
+// tree, of half a second each.
+const deliveryLooks = 2
+
+func newFleet(size int) *fleet {
+	made := &fleet{machines: make([]*machine, size), pictures: make([]Picture, size), under: make(map[int][]Statement)}
+	for place := range made.machines {
+		made.machines[place] = newMachine(place, size)
+		made.machines[place].pass(well, 2*time.Second)
+	}
+	return made
+}
+
+func nameOf(place int) string { return fmt.Sprintf("edge-%02d", place) }
+
+// look lets all machines look once. The delay of each statement is given.
+func (f *fleet) look(seen func(place int) Counts, delay func() int) (away int) {
+	arrived := f.under[0]
+	for looks := range deliveryLooks {
+		f.under[looks] = f.under[looks+1]
+	}
+	f.under[deliveryLooks] = nil
+	for place, machine := range f.machines {
+		for _, statement := range arrived {
+			if statement.Name != nameOf(place) {
+				f.pictures[place].Take(statement)
+			}
+		}
+		machine.zone.Others = nil
+		for _, statement := range f.pictures[place].Now(machine.now) {
+			var other int
+			_, _ = fmt.Sscanf(statement.Name, "edge-%d", &other)
+			machine.zone.Others = append(machine.zone.Others, Other{Place: other, Away: statement.Away})
+		}
+		at := machine.now
+		machine.pass(seen(place), LookInterval)
+		if machine.core.Struggles() {
+			looks := delay() - 1
+			f.under[looks] = append(f.under[looks], Statement{Name: nameOf(place), Away: machine.core.Aside(), At: at})
+		}
+		if machine.core.Aside() {
+			away++
+		}
+	}
+	return away
+}
+
+// A zone all of whose machines are slow keeps most of them, whatever each sees, when,
+// and however late it hears of the others; a zone of few keeps all.
+func TestZoneKeepsMostOfItsMachines(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(1, 40).Draw(t, "size")
+		fleet := newFleet(size)
+		kinds := []Counts{slow, slow, slow, well, nothing}
+		for range rapid.IntRange(1, 60).Draw(t, "looks") {
+			away := fleet.look(
+				func(int) Counts { return rapid.SampledFrom(kinds).Draw(t, "seen") },
+				func() int { return rapid.IntRange(1, deliveryLooks).Draw(t, "delay") })
+			require.LessOrEqual(t, 2*away, size, "more than half")
+			require.True(t, size >= leastZone || away == 0)
+			for _, machine := range fleet.machines {
+				machine.zone.Heard = rapid.Bool().Draw(t, "heard")
+			}
+		}
+	})
+}
+
+// A third of a zone is slow, wherever in the order: most of it goes within 2 s.
+func TestMostOfThoseThatAreSlowGo(t *testing.T) {
+	chance := rand.New(rand.NewPCG(1, 2))
+	went, slowOnes := 0, 0
+	for range 100 {
+		fleet := newFleet(15)
+		bad := make(map[int]bool)
+		for _, place := range chance.Perm(15)[:5] {
+			bad[place] = true
+		}
+		away := 0
+		for range 4 {
+			away = fleet.look(func(place int) Counts {
+				if bad[place] {
+					return slow
+				}
+				return well
+			}, func() int { return 1 + chance.IntN(deliveryLooks) })
+		}
+		went, slowOnes = went+away, slowOnes+5
+	}
+	require.Greater(t, float64(went)/float64(slowOnes), 0.75)
+}
+
+// A zone that has too much to do as a whole keeps all: who went would leave it to the
+// rest.
+func TestZoneThatIsSlowAsAWholeKeepsAll(t *testing.T) {
+	fleet := newFleet(15)
+	for range 60 {
+		require.Zero(t, fleet.look(func(int) Counts { return slow }, func() int { return deliveryLooks }))
+	}
+}
+
+// Without a picture only the first places go, a quarter of the zone.
+func TestWhoHearsNobodyGoesByPlaceOnly(t *testing.T) {
+	away := 0
+	for place := range 15 {
+		machine := newMachine(place, 15)
+		machine.zone.Heard = false
+		machine.pass(well, 5*time.Second)
+		machine.pass(slow, 3*time.Second)
+		away += machine.left
+	}
+	require.Equal(t, 3, away)
+}
+
+func TestPictureHoldsTheLatestAndFades(t *testing.T) {
+	at := time.Unix(1000, 0)
+	var picture Picture
+	picture.Take(Statement{Name: "edge-1", Away: true, At: at})
+	picture.Take(Statement{Name: "edge-1", At: at.Add(-time.Second)})
+	require.Equal(t, []Statement{{Name: "edge-1", Away: true, At: at}}, picture.Now(at.Add(pictureFor)))
+	require.Empty(t, picture.Now(at.Add(pictureFor+time.Millisecond)))
+	for number := range 2 * pictureLimit {
+		picture.Take(Statement{Name: nameOf(number), At: at})
+	}
+	require.Len(t, picture.Now(at), pictureLimit)
+}
+
+func TestMachineThatTheOthersDoNotKnowStays(t *testing.T) {
+	machine := newMachine(0, 0)
+	machine.pass(slow, time.Minute)
+	require.Zero(t, machine.left)
+}
--- /dev/null
+++ b/internal/balancer/aside.go
@@ -0,0 +1,127 @@
+package balancer
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/aside"
+	"github.com/indigobarrow/indigobarrow/internal/mechanism"
+	"github.com/indigobarrow/indigobarrow/internal/replication"
+)
+
+// pictureAge is the silence after which what others said of who struggles counts no
+// more. Followers call twice a second, or each second while there is no news.
+const pictureAge = replication.FollowWait + 500*time.Millisecond
+
+// stepAside is what control knows of who carries its share.
+type stepAside struct {
+	core    *aside.Core
+	picture aside.Picture
+	// heardAt is when another balancer last told who struggles, or that nobody does.
+	heardAt time.Time
+	// places are the places of the balancers of this zone, by name, in an order that
+	// all know.
+	places map[string]int
+}
+
+// lookAside looks at how long new flows took to open here, and steps aside or comes
+// back by it. Routers ask for readiness twice a second and turn away after two
+// refusals; open flows then pass other balancers, which resolve their tokens as well.
+func (c *control) lookAside(now time.Time) {
+	if c.balancer.traffic == nil || c.balancer.off.Has(mechanism.StepAside) {
+		return
+	}
+	flows := c.balancer.traffic.flows
+	counts := aside.Counts{Missed: flows.Missed.Load()}
+	for step := range flows.Opened {
+		counts.Opened[step] = flows.Opened[step].Load()
+	}
+	core := c.aside.core
+	if !core.Look(counts, c.asideZone(now), now) {
+		return
+	}
+	c.balancer.aside.Store(core.Aside())
+	if !core.Aside() {
+		c.balancer.logger.Info("Control: back from aside.")
+		return
+	}
+	c.balancer.asides.Add(1)
+	seen := core.Seen()
+	c.balancer.logger.Warn("Control: stepped aside, packets wait too long here.", "for", core.Stay(),
+		"opened_promptly", seen.Prompt, "slowly", seen.Slow, "not_in_time", seen.Missed)
+}
+
+// asideZone is what is known of this zone by now.
+func (c *control) asideZone(now time.Time) aside.Zone {
+	name := c.balancer.settings.Load().GetName()
+	place, listed := c.aside.places[name]
+	if !listed {
+		return aside.Zone{} // the others don't count on it
+	}
+	heard := now.Sub(c.aside.heardAt) < pictureAge
+	zone := aside.Zone{Place: place, Size: len(c.aside.places), Heard: heard}
+	for _, statement := range c.aside.picture.Now(now) {
+		if other, here := c.aside.places[statement.Name]; here && statement.Name != name {
+			zone.Others = append(zone.Others, aside.Other{Place: other, Away: statement.Away})
+		}
+	}
+	return zone
+}
+
+// tellStruggling are the statements on who struggles for a message, this balancer
+// among them.
+func (c *control) tellStruggling(now time.Time) []*apiv1.Struggling {
+	name := c.balancer.settings.Load().GetName()
+	if c.aside.core.Struggles() {
+		c.aside.picture.Take(aside.Statement{Name: name, Away: c.aside.core.Aside(), At: now})
+	} else {
+		c.aside.picture.Drop(name)
+	}
+	var told []*apiv1.Struggling
+	for _, statement := range c.aside.picture.Now(now) {
+		told = append(told, &apiv1.Struggling{Name: statement.Name, Away: statement.Away,
+			Milliseconds: uint32(now.Sub(statement.At).Milliseconds())})
+	}
+	return told
+}
+
+// hearStruggling takes statements of another balancer. What is said of this one it
+// knows better.
+func (c *control) hearStruggling(told []*apiv1.Struggling, now time.Time) {
+	c.aside.heardAt = now
+	for _, each := range told {
+		if each.GetName() == c.balancer.settings.Load().GetName() {
+			continue
+		}
+		c.aside.picture.Take(aside.Statement{Name: each.GetName(), Away: each.GetAway(),
+			At: now.Add(-time.Duration(each.GetMilliseconds()) * time.Millisecond)})
+	}
+}
+
+// takePlaces puts the balancers of this zone in an order that all know. It goes by a
+// hash of the names, so that neither strength nor naming decides.
+func (c *control) takePlaces(known []*apiv1.Balancer) {
+	zone := c.balancer.settings.Load().GetZone()
+	var names []string
+	for _, b := range known {
+		if b.GetZone() == zone {
+			names = append(names, b.GetName())
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(asideRank(a), asideRank(b)), cmp.Compare(a, b))
+	})
+	c.aside.places = make(map[string]int, len(names))
+	for place, name := range names {
+		c.aside.places[name] = place
+	}
+}
+
+func asideRank(name string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte("aside/" + name))
+	return hash.Sum64()
+}
--- /dev/null
+++ b/internal/balancer/aside_test.go
@@ -0,0 +1,96 @@
+package balancer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/aside"
+	"github.com/indigobarrow/indigobarrow/internal/mechanism"
+	"github.com/indigobarrow/indigobarrow/internal/tokenroute"
+)
+
+// newAsideControl is the control state of a balancer that may step aside, with the
+// memory of its traffic goroutine.
+func newAsideControl() *control {
+	control := newTestControl()
+	control.balancer.traffic = &traffic{flows: tokenroute.NewFlows(mechanism.Set{})}
+	control.balancer.table.Store(&tokenroute.Table{})
+	control.aside.places = map[string]int{"edge-1": 0, "edge-2": 1, "edge-3": 2, "edge-4": 3, "edge-5": 4}
+	return control
+}
+
+// open lets flows open, each in so long, and control look at it for a time.
+func (control *control) open(took, length time.Duration, now time.Time) time.Time {
+	for end := now.Add(length); now.Before(end); now = now.Add(aside.LookInterval) {
+		control.balancer.traffic.flows.Opened[aside.StepOf(took)].Add(12)
+		control.lookAside(now)
+	}
+	return now
+}
+
+// Routers leave out who is not ready, and come back to who is.
+func TestSlowBalancerIsNotReadyForAWhile(t *testing.T) {
+	control := newAsideControl()
+	now := control.open(2*time.Millisecond, 3*time.Second, time.Now())
+	require.True(t, control.balancer.Ready())
+	now = control.open(80*time.Millisecond, 2*time.Second, now)
+	require.False(t, control.balancer.Ready())
+	require.Equal(t, uint64(1), control.balancer.asides.Load())
+	control.open(2*time.Millisecond, 10*time.Second, now)
+	require.True(t, control.balancer.Ready())
+}
+
+func TestStepAsideCanBeSwitchedOff(t *testing.T) {
+	control := newAsideControl()
+	off, err := mechanism.Parse([]string{"step_aside"})
+	require.NoError(t, err)
+	control.balancer.off = off
+	now := control.open(2*time.Millisecond, 3*time.Second, time.Now())
+	control.open(80*time.Millisecond, 5*time.Second, now)
+	require.True(t, control.balancer.Ready())
+}
+
+// All balancers of a zone agree on the places, whatever they know of other zones, and
+// one that is not listed has none.
+func TestPlacesInAZone(t *testing.T) {
+	var known []*apiv1.Balancer
+	for number := range 12 {
+		known = append(known, &apiv1.Balancer{Name: fmt.Sprintf("edge-%d", number), Zone: "maadi"})
+		known = append(known, &apiv1.Balancer{Name: fmt.Sprintf("far-%d", number), Zone: "nasr"})
+	}
+	places := make(map[int]bool)
+	for number := range 12 {
+		control := newTestControl()
+		control.balancer.settings.Load().Name = fmt.Sprintf("edge-%d", number)
+		control.takePlaces(known)
+		zone := control.asideZone(time.Now())
+		require.Equal(t, 12, zone.Size)
+		places[zone.Place] = true
+	}
+	require.Len(t, places, 12)
+	control := newTestControl()
+	control.balancer.settings.Load().Name = "new"
+	control.takePlaces(known)
+	require.Equal(t, aside.Zone{}, control.asideZone(time.Now()))
+}
+
+// What one says of itself reaches the others of its zone through the one that they
+// follow, fades when it is not renewed, and is passed on no longer than it holds.
+func TestWhoStrugglesIsToldThroughTheParent(t *testing.T) {
+	now := time.Now()
+	leaf, parent, other := newAsideControl(), newAsideControl(), newAsideControl()
+	leaf.balancer.settings.Load().Name = "edge-2"
+	parent.balancer.settings.Load().Name = "edge-3"
+	now = leaf.open(2*time.Millisecond, 3*time.Second, now)
+	now = leaf.open(80*time.Millisecond, aside.LookInterval, now)
+	parent.hearStruggling(leaf.tellStruggling(now), now)
+	other.hearStruggling(parent.tellStruggling(now.Add(time.Second)), now.Add(time.Second))
+	require.Equal(t, []aside.Other{{Place: 1}}, other.asideZone(now.Add(time.Second)).Others)
+	parent.hearStruggling(other.tellStruggling(now.Add(2*time.Second)), now.Add(2*time.Second))
+	require.Empty(t, parent.tellStruggling(now.Add(4*time.Second)), "an echo renews nothing")
+	require.Empty(t, other.asideZone(now.Add(4*time.Second)).Others)
+}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -89,6 +89,10 @@
 	bus      *events.Bus
 	table    atomic.Pointer[tokenroute.Table]
 	stopping atomic.Bool
+	// aside is set while this balancer can't carry its share, and asides counts how
+	// often that began.
+	aside  atomic.Bool
+	asides atomic.Uint64
 	// confirmedAt is when the store confirmed what is known, in nanoseconds
 	// since the start; 0 is never.
 	confirmedAt atomic.Int64
@@ -141,7 +145,7 @@
 
 // Ready tells whether the balancer takes new flows.
 func (b *Balancer) Ready() bool {
-	return b.table.Load() != nil && !b.stopping.Load()
+	return b.table.Load() != nil && !b.stopping.Load() && !b.aside.Load()
 }
 
 // Run serves until the context ends.
--- a/internal/balancer/calls.go
+++ b/internal/balancer/calls.go
@@ -115,6 +115,7 @@
 			// as one more that might by chance.
 			request.Findings = encodeFindings(c.findings.here(now))
 			request.TakesFindings = true
+			request.Struggling = c.tellStruggling(now)
 		}
 		request.Shown = c.core.Shown(now)
 		request.Silent = c.core.Silent(now)
@@ -143,6 +144,7 @@
 		Callers:         reply.GetCallers(),
 		Findings:        reply.GetFindings(),
 		Demand:          reply.GetDemand(),
+		Struggling:      reply.GetStruggling(),
 
 		Testimony:             reply.GetTestimony(),
 		TestimonyLatest:       reply.GetTestimonyLatest(),
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -6,6 +6,7 @@
 	"time"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/aside"
 	"github.com/indigobarrow/indigobarrow/internal/demand"
 	"github.com/indigobarrow/indigobarrow/internal/directory"
 	"github.com/indigobarrow/indigobarrow/internal/flow"
@@ -54,6 +55,7 @@
 	observed observed
 	findings findings
 	demand   demandState
+	aside    stepAside
 	// listed are the balancers of each zone, this one included.
 	listed    map[demand.Zone]int
 	followers chan *follower
@@ -104,6 +106,7 @@
 		client:    replication.NewClient(balancer.logger),
 		programs:  programs{compiled: make(map[string]*compiledPolicy)},
 		observed:  newObserved(),
+		aside:     stepAside{core: aside.New()},
 		followers: make(chan *follower, followersLimit),
 
 		testimonies: make(chan *apiv1.TestifyRequest, followersLimit),
@@ -172,6 +175,7 @@
 	c.startTestify(ctx, now)
 	c.startReport(ctx, now)
 	c.answerWaiting(now)
+	c.lookAside(now)
 	if c.known.Expire(now) || c.takeObserved(now) {
 		c.rebuild = true
 	}
--- a/internal/balancer/followers.go
+++ b/internal/balancer/followers.go
@@ -21,6 +21,7 @@
 	until       time.Time
 	findings    []*apiv1.BackendFinding
 	demand      *apiv1.DemandReport
+	struggling  []*apiv1.Struggling
 	// shown and silent are what it passes on about balancers.
 	shown  []*apiv1.Balancer
 	silent []string
@@ -101,6 +102,7 @@
 		until:          now.Add(time.Duration(request.GetWaitMilliseconds()) * time.Millisecond),
 		findings:       request.GetFindings(),
 		demand:         request.GetDemand(),
+		struggling:     request.GetStruggling(),
 		shown:          request.GetShown(),
 		silent:         request.GetSilent(),
 		everything:     request.GetEverything(),
@@ -131,6 +133,9 @@
 	c.core.Called(asking.caller, c.known.Revision(), asking.takenAt)
 	c.core.TakeShown(asking.shown, asking.takenAt)
 	c.core.TakeSilent(asking.silent, asking.takenAt)
+	if asking.takesFindings {
+		c.hearStruggling(asking.struggling, asking.takenAt)
+	}
 	if asking.follows() {
 		c.findings.takeFollower(asking.caller.Address, asking.findings, asking.takenAt)
 	}
@@ -178,6 +183,7 @@
 	}
 	if asking.takesFindings {
 		reply.Findings = found()
+		reply.Struggling = c.tellStruggling(now)
 	}
 	if asking.takesTestimony {
 		c.addTestimony(reply, statements, now)
--- a/internal/balancer/learn.go
+++ b/internal/balancer/learn.go
@@ -68,6 +68,7 @@
 	c.core.SetBalancers(balancers, now)
 	c.observed.balancers = c.balancersInZone(balancers)
 	c.listed = c.countByZone(balancers)
+	c.takePlaces(balancers)
 }
 
 // countByZone counts the balancers of each zone, this one included.
@@ -137,6 +138,7 @@
 	c.core.PeerAnswered(peer, asOf, now)
 	c.core.Learned(news.GetCallers())
 	if peer.Purpose == replication.PurposeFollow && c.core.SharesOrder(peer.Address) {
+		c.hearStruggling(news.GetStruggling(), now)
 		c.findings.takeParent(news.GetFindings(), now)
 	}
 	if peer.Purpose == replication.PurposeFollow {
--- a/internal/balancer/metrics.go
+++ b/internal/balancer/metrics.go
@@ -54,6 +54,8 @@
 		"Statements on back ends that were not passed on, by the bound that was reached.", []string{"bound"}, nil)
 	evacuatedDescription = prometheus.NewDesc("indigobarrow_balancer_zone_evacuated_revision",
 		"Revision of the order that evacuates a zone.", []string{"zone"}, nil)
+	asideDescription = prometheus.NewDesc("indigobarrow_balancer_stepped_aside_total",
+		"How often the balancer stepped aside, since it could not carry its share.", nil, nil)
 	readyDescription = prometheus.NewDesc("indigobarrow_balancer_ready",
 		"1 while the balancer takes new flows.", nil, nil)
 )
@@ -95,6 +97,7 @@
 	counter(callsDescription, failed, "store", "failed")
 	counter(callsDescription, balancer.peerCalls.answered.Load(), "peer", "answered")
 	counter(callsDescription, balancer.peerCalls.failed.Load(), "peer", "failed")
+	counter(asideDescription, balancer.asides.Load())
 	counter(silentDescription, balancer.control.client.GivenUp.Load()+balancer.control.testimony.client.GivenUp.Load())
 	if confirmed := balancer.confirmedAt.Load(); confirmed > 0 {
 		gauge(ageDescription, (time.Since(balancer.started) - time.Duration(confirmed)).Seconds())
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -46,6 +46,8 @@
 	DemandShares Name = "demand_shares"
 	// Health avoids back ends whose answers differ from the others'.
 	Health Name = "health"
+	// StepAside lets a balancer that can't carry its share say that it is not ready.
+	StepAside Name = "step_aside"
 )
 
 // All are the mechanisms, in the order of this list.
@@ -63,6 +65,7 @@
 	EarlyPackets,
 	DemandShares,
 	Health,
+	StepAside,
 }
 
 // Set is a set of mechanisms. It is immutable; the zero value is empty.
--- a/internal/tokenroute/decide.go
+++ b/internal/tokenroute/decide.go
@@ -98,7 +98,7 @@
 	}
 	f.turn(now)
 	state := f.memory.find(packet.Key)
-	chosen := f.next(state, named)
+	chosen := f.next(state, named, now)
 	if f.observe(packet, state, chosen, now) {
 		return Decision{Verdict: Refuse, Reason: ReasonDeadBackend, Backend: chosen}
 	}
--- a/internal/tokenroute/flows.go
+++ b/internal/tokenroute/flows.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/indigobarrow/indigobarrow/internal/aside"
 	"github.com/indigobarrow/indigobarrow/internal/demand"
 	"github.com/indigobarrow/indigobarrow/internal/flow"
 	"github.com/indigobarrow/indigobarrow/internal/mechanism"
@@ -79,6 +80,8 @@
 	Retried atomic.Uint64
 	// Missed counts back ends that did not answer in time.
 	Missed atomic.Uint64
+	// Opened counts flows by how long they took to open.
+	Opened [aside.Steps]atomic.Uint64
 	// Kept counts packets sent to the back end that opened their flow although
 	// their token named another.
 	Kept atomic.Uint64
@@ -218,16 +221,17 @@
 // given back end.
 func (f *Flows) Next(key flow.Key, named *Backend, now time.Time) *Backend {
 	f.turn(now)
-	return f.next(f.memory.find(key), named)
+	return f.next(f.memory.find(key), named, now)
 }
 
-func (f *Flows) next(state *flowState, named *Backend) *Backend {
+func (f *Flows) next(state *flowState, named *Backend, now time.Time) *Backend {
 	if state == nil {
 		return named
 	}
 	known := &state.opening
 	if known.opened == nil && known.wasTried(named) {
 		known.opened = named
+		f.countOpened(now.Sub(known.sentAt))
 		delete(f.silent, named.Number)
 	}
 	if known.opened == nil || known.opened.Number == named.Number {
@@ -237,6 +241,14 @@
 	return known.opened
 }
 
+// countOpened counts a flow by how long it took to open. What took longer than an
+// answer may is counted as missed.
+func (f *Flows) countOpened(took time.Duration) {
+	if took < AnswerTime {
+		f.Opened[aside.StepOf(took)].Add(1)
+	}
+}
+
 // collect counts the back ends whose answers are overdue.
 func (f *Flows) collect(now time.Time) {
 	due := 0
