New flows are refused for want of room, the least urgent first

Back ends that are full shed what comes, after a handshake and 40 to 200 ms, the urgent as readily as what can wait, and reset a part of it without a word; each is tried again twice.

Balancers come to the same pressure: what waits here is known at once, the picture of demand tells which part of all it is. Copies of first packets and open flows are never refused.

Not tried: a bound by the expected answer (with 10 in hand it takes 0.22 s of 0.6, so it would refuse nothing before back ends shed), and dropping a first packet once (200 ms is over a quarter of the target of 0.6 s).

--- a/cmd/balancer/explain.go
+++ b/cmd/balancer/explain.go
@@ -14,11 +14,11 @@
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "explain",
-		Usage:     "tell from saved logs what happened to a request or a flow",
-		ArgsUsage: "REQUEST-ID|FLOW LOG...",
+		Usage:     "tell from saved logs what happened to a request, a flow or a client",
+		ArgsUsage: "REQUEST-ID|FLOW|CLIENT-ADDRESS LOG...",
 		Action: func(_ context.Context, command *cli.Command) error {
 			if command.Args().Len() < 2 {
-				return errors.New("explain takes a request id or a flow, and at least one log file; see --help")
+				return errors.New("explain takes a request id, a flow or a client's address, and at least one log file; see --help")
 			}
 			return explain(command.Args().First(), command.Args().Tail())
 		},
--- /dev/null
+++ b/internal/balancer/admission.go
@@ -0,0 +1,106 @@
+package balancer
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/admission"
+	"github.com/indigobarrow/indigobarrow/internal/demand"
+	"github.com/indigobarrow/indigobarrow/internal/mechanism"
+	"github.com/indigobarrow/indigobarrow/internal/observe"
+)
+
+// gate is what the control goroutine knows of admission.
+type gate struct {
+	core *admission.Gate
+	// urgencies are those of the routes in force, by pool.
+	urgencies map[string][]admission.Urgency
+	pressures pressures
+	// short are the pools that some flows are refused of.
+	short map[string]bool
+}
+
+func newGate() gate {
+	return gate{core: admission.NewGate(), pressures: pressures{waiting: make(map[string]float64)}}
+}
+
+// takeRoutes takes the routes that are in force.
+func (g *gate) takeRoutes(table *apiv1.RouteTable) {
+	g.urgencies = make(map[string][]admission.Urgency)
+	for _, route := range table.GetRoutes() {
+		for _, share := range route.GetPools() {
+			known := g.urgencies[share.GetPool()]
+			if urgency := admission.Urgency(route.GetPriority()); !slices.Contains(known, urgency) {
+				g.urgencies[share.GetPool()] = append(known, urgency)
+			}
+		}
+	}
+}
+
+// admit moves the gate by what was observed and hands its levels to traffic.
+func (c *control) admit(summary *observe.Summary, now time.Time) {
+	if c.balancer.off.Has(mechanism.Admission) {
+		return
+	}
+	c.gate.pressures.follow(summary)
+	picture := c.demand.picture.Load()
+	zone := demand.Zone(c.balancer.settings.Load().GetZone())
+	demands := make([]admission.Demand, 0, len(c.gate.urgencies))
+	for pool, urgencies := range c.gate.urgencies {
+		pressure := c.gate.pressures.on(demand.Pool(pool), zone, picture, c.listed)
+		demands = append(demands, admission.Demand{Pool: pool, Urgencies: urgencies, Pressure: pressure})
+	}
+	levels := c.gate.core.Step(demands, now)
+	c.tellShort(levels, now)
+	c.balancer.traffic.flows.Admit(levels)
+}
+
+// tellShort tells which pools began or ceased to be short of room.
+func (c *control) tellShort(levels *admission.Levels, now time.Time) {
+	short := make(map[string]bool)
+	for _, level := range levels.All() {
+		if !short[level.Pool] && !c.gate.short[level.Pool] {
+			c.balancer.logger.Warn("Control: pool is short of room.", "pool", level.Pool, "urgency", uint64(level.Urgency),
+				"refused_part", rounded(level.Refused), "pressure", rounded(level.Pressure.Waiting),
+				"pressure_age", level.Pressure.Age(now).Round(time.Millisecond))
+		}
+		short[level.Pool] = true
+	}
+	for pool := range c.gate.short {
+		if !short[pool] {
+			c.balancer.logger.Info("Control: pool has room again.", "pool", pool)
+		}
+	}
+	c.gate.short = short
+}
+
+// refusals counts the flows that were refused for want of room, by pool and urgency. Any
+// goroutine may use it; a refused flow costs its lock and no more.
+type refusals struct {
+	mutex  sync.Mutex
+	counts map[refusedKind]uint64
+}
+
+// refusedKind is a pool and an urgency.
+type refusedKind struct {
+	pool    string
+	urgency admission.Urgency
+}
+
+func (r *refusals) count(level *admission.Level) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.counts == nil {
+		r.counts = make(map[refusedKind]uint64)
+	}
+	r.counts[refusedKind{pool: level.Pool, urgency: level.Urgency}]++
+}
+
+func (r *refusals) all() map[refusedKind]uint64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return maps.Clone(r.counts)
+}
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -58,6 +58,7 @@
 	aside    stepAside
 	// listed are the balancers of each zone, this one included.
 	listed    map[demand.Zone]int
+	gate      gate
 	followers chan *follower
 	// testimonies are calls of followers that tell what they saw of back ends, and
 	// nudged wakes this goroutine to pass on what the traffic goroutine saw.
@@ -107,6 +108,7 @@
 		programs:  programs{compiled: make(map[string]*compiledPolicy)},
 		observed:  newObserved(),
 		aside:     stepAside{core: aside.New()},
+		gate:      newGate(),
 		followers: make(chan *follower, followersLimit),
 
 		testimonies: make(chan *apiv1.TestifyRequest, followersLimit),
@@ -207,6 +209,7 @@
 	c.takeDemand(now)
 	summary := c.balancer.traffic.observed.Load()
 	changed := c.observed.take(summary, now)
+	c.admit(summary, now)
 	c.findings.own = nil
 	if summary != nil && now.Sub(summary.At) <= observedFor {
 		c.findings.own = summary.Findings
--- a/internal/balancer/decisionlog.go
+++ b/internal/balancer/decisionlog.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"log/slog"
+	"math"
 	"time"
 
 	"github.com/indigobarrow/indigobarrow/internal/tokenroute"
@@ -26,11 +27,13 @@
 	lineSampled
 	// linePassing: any other request that passes.
 	linePassing
+	// lineNoRoom: a flow was refused for want of room. In a burst there are many.
+	lineNoRoom
 	lineKindCount
 )
 
 // lineLimits are the lines a second of each kind.
-var lineLimits = [lineKindCount]int{lineFailure: 60, lineOpening: 50, lineSampled: 30, linePassing: 40}
+var lineLimits = [lineKindCount]int{lineFailure: 60, lineOpening: 50, lineSampled: 30, linePassing: 40, lineNoRoom: 20}
 
 // sampleShare is that one request in so many is of the sample.
 const sampleShare = 16
@@ -70,15 +73,25 @@
 	if decision.Reason == tokenroute.ReasonEvacuated {
 		attributes = append(attributes, slog.Any("evacuated", table.Evacuated))
 	}
+	if refused := decision.Level; refused != nil {
+		attributes = append(attributes, slog.String("pool", refused.Pool), slog.Uint64("urgency", uint64(refused.Urgency)),
+			slog.Float64("refused_part", rounded(refused.Refused)), slog.Float64("pressure", rounded(refused.Pressure.Waiting)),
+			slog.Duration("pressure_age", refused.Pressure.Age(now).Round(time.Millisecond)))
+	}
 	level := slog.LevelInfo
-	if kind == lineFailure {
+	if kind == lineFailure || kind == lineNoRoom {
 		level = slog.LevelWarn
 	}
 	d.logger.LogAttrs(context.Background(), level, message, attributes...)
 }
 
+// rounded is a figure as lines show it.
+func rounded(figure float64) float64 { return math.Round(figure*100) / 100 }
+
 func describe(packet tokenroute.Packet, request []byte, decision tokenroute.Decision) (message string, kind lineKind) {
 	switch {
+	case decision.Reason == tokenroute.ReasonNoRoom:
+		return "Traffic: flow refused.", lineNoRoom
 	case decision.Verdict == tokenroute.Refuse:
 		return "Traffic: flow refused.", lineFailure
 	case decision.Verdict == tokenroute.Drop:
@@ -126,5 +139,6 @@
 		return
 	}
 	d.logger.Warn("Traffic: lines left out.", "failures", d.leftOut[lineFailure], "openings", d.leftOut[lineOpening],
-		"sampled", d.leftOut[lineSampled], "passing", d.leftOut[linePassing])
+		"sampled", d.leftOut[lineSampled], "passing", d.leftOut[linePassing],
+		"no_room", d.leftOut[lineNoRoom])
 }
--- a/internal/balancer/decisionlog_test.go
+++ b/internal/balancer/decisionlog_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/indigobarrow/indigobarrow/internal/admission"
 	"github.com/indigobarrow/indigobarrow/internal/tokenroute"
 )
 
@@ -43,3 +44,21 @@
 	require.InDelta(t, 1000, count, 150)
 	require.Equal(t, sampled([]byte("a3")), sampled([]byte("a3")))
 }
+
+// A flow that was refused for want of room names what it was refused by, and many of them
+// push out no line of another failure.
+func TestRefusalsForWantOfRoomAreExplained(t *testing.T) {
+	var written bytes.Buffer
+	log := decisionLog{logger: slog.New(slog.NewTextHandler(&written, nil))}
+	now := time.Now().Truncate(time.Second)
+	level := &admission.Level{Pool: "lending", Urgency: 2, Refused: 0.75,
+		Pressure: admission.Pressure{Waiting: 4.256, SeenAt: now.Add(-1500 * time.Millisecond)}}
+	refused := tokenroute.Decision{Verdict: tokenroute.Refuse, Reason: tokenroute.ReasonNoRoom, Level: level}
+	for range 1000 {
+		log.note(tokenroute.Packet{First: true}, nil, refused, nil, now)
+	}
+	log.note(tokenroute.Packet{}, nil, tokenroute.Decision{Verdict: tokenroute.Refuse, Reason: tokenroute.ReasonNoRoute}, nil, now)
+	require.Contains(t, written.String(), "reason=no_room token=0 pool=lending urgency=2 refused_part=0.75 pressure=4.26 pressure_age=1.5s")
+	require.Contains(t, written.String(), "reason=no_route")
+	require.Equal(t, lineLimits[lineNoRoom], strings.Count(written.String(), "reason=no_room"))
+}
--- a/internal/balancer/metrics.go
+++ b/internal/balancer/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/indigobarrow/indigobarrow/internal/admission"
 	"github.com/indigobarrow/indigobarrow/internal/tokenroute"
 )
 
@@ -56,6 +58,12 @@
 		"Revision of the order that evacuates a zone.", []string{"zone"}, nil)
 	asideDescription = prometheus.NewDesc("indigobarrow_balancer_stepped_aside_total",
 		"How often the balancer stepped aside, since it could not carry its share.", nil, nil)
+	refusalsDescription = prometheus.NewDesc("indigobarrow_balancer_refused_for_room_total",
+		"New flows refused for want of room.", []string{"pool", "urgency"}, nil)
+	refusedPartDescription = prometheus.NewDesc("indigobarrow_balancer_refused_part",
+		"Part of the new flows that is refused for want of room now.", []string{"pool", "urgency"}, nil)
+	refusedByDescription = prometheus.NewDesc("indigobarrow_balancer_refused_by_pressure",
+		"Requests that wait for each slot, by which flows are refused now.", []string{"pool"}, nil)
 	readyDescription = prometheus.NewDesc("indigobarrow_balancer_ready",
 		"1 while the balancer takes new flows.", nil, nil)
 )
@@ -102,6 +110,17 @@
 	if confirmed := balancer.confirmedAt.Load(); confirmed > 0 {
 		gauge(ageDescription, (time.Since(balancer.started) - time.Duration(confirmed)).Seconds())
 	}
+	for kind, count := range traffic.refusals.all() {
+		counter(refusalsDescription, count, kind.pool, urgencyLabel(kind.urgency))
+	}
+	told := make(map[string]bool)
+	for _, level := range traffic.flows.Levels().All() {
+		gauge(refusedPartDescription, level.Refused, level.Pool, urgencyLabel(level.Urgency))
+		if !told[level.Pool] {
+			told[level.Pool] = true
+			gauge(refusedByDescription, level.Pressure.Waiting, level.Pool)
+		}
+	}
 	if table := balancer.table.Load(); table != nil {
 		gauge(versionDescription, float64(table.Version))
 		for zone, revision := range table.Evacuated {
@@ -116,6 +135,8 @@
 	gauge(readyDescription, ready)
 }
 
+func urgencyLabel(urgency admission.Urgency) string { return strconv.FormatUint(uint64(urgency), 10) }
+
 // serveMetrics serves the metrics if the settings give them an address.
 func (b *Balancer) serveMetrics(ctx context.Context) error {
 	address := b.settings.Load().GetMetricsAddress()
--- /dev/null
+++ b/internal/balancer/pressure.go
@@ -0,0 +1,84 @@
+package balancer
+
+import (
+	"math"
+	"time"
+
+	"github.com/indigobarrow/indigobarrow/internal/admission"
+	"github.com/indigobarrow/indigobarrow/internal/demand"
+	"github.com/indigobarrow/indigobarrow/internal/observe"
+)
+
+// pressureTime is how fast what waits here is followed. One balancer sees some requests
+// at a time, so a single look is mostly chance.
+const pressureTime = 300 * time.Millisecond
+
+// pressures follow what waits at this balancer for each pool. A picture is a second or
+// two old, and in that time a burst fills the queues of all back ends; what waits here is
+// known at once. Of the picture is taken which part of all passes here, which changes
+// slowly: with the pressure of the picture itself a burst was refused half a second
+// later, and for a second after its end.
+type pressures struct {
+	waiting map[string]float64
+	seenAt  time.Time
+}
+
+// follow follows the requests that wait here.
+func (p *pressures) follow(summary *observe.Summary) {
+	if summary == nil || !summary.At.After(p.seenAt) {
+		return
+	}
+	part := 1 - math.Exp(-summary.At.Sub(p.seenAt).Seconds()/pressureTime.Seconds())
+	p.seenAt = summary.At
+	for pool, waiting := range summary.Waiting {
+		p.waiting[pool] += part * (waiting - p.waiting[pool])
+	}
+}
+
+// on is the pressure on a pool. Routers spread a zone's packets evenly over its
+// balancers, and the picture tells which part of what is asked of the pool the zone's
+// clients ask. It is unknown while the picture is one of less than half of the balancers
+// listed, or while nothing was seen here: those left out may be short of room, or not.
+func (p *pressures) on(pool demand.Pool, own demand.Zone, picture *demand.Picture, listed map[demand.Zone]int) admission.Pressure {
+	balancers := 0
+	for _, count := range listed {
+		balancers += count
+	}
+	if picture == nil || 2*picture.Balancers < balancers {
+		return admission.Pressure{}
+	}
+	room := 0.0
+	for place, slots := range picture.Room {
+		if place.Pool == pool {
+			room += slots
+		}
+	}
+	part := askedPart(pool, own, picture, listed)
+	if room == 0 || part == 0 {
+		return admission.Pressure{}
+	}
+	waiting := p.waiting[string(pool)] * float64(listed[own]) / part
+	seenAt := picture.At
+	if p.seenAt.Before(seenAt) {
+		seenAt = p.seenAt
+	}
+	return admission.Pressure{Waiting: waiting / room, SeenAt: seenAt}
+}
+
+// askedPart is the part of what is asked of a pool that the clients of a zone ask. Of a
+// zone whose balancers the picture has in part, the others are taken to see as much.
+func askedPart(pool demand.Pool, own demand.Zone, picture *demand.Picture, listed map[demand.Zone]int) float64 {
+	mine, all := 0.0, 0.0
+	for zone, seen := range picture.Zones {
+		asks := picture.Places[demand.Place{Pool: pool, Zone: zone}].Asks
+		asks *= max(float64(listed[zone]), float64(seen)) / float64(seen)
+		all += asks
+		if zone == own {
+			mine = asks
+		}
+	}
+	if mine == 0 {
+		return 0
+	}
+	return mine / all
+}
--- /dev/null
+++ b/internal/balancer/pressure_test.go
@@ -0,0 +1,61 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/indigobarrow/indigobarrow/internal/demand"
+	"github.com/indigobarrow/indigobarrow/internal/observe"
+)
+
+// seen feeds summaries with the same number of waiting requests.
+func seen(waiting float64, from time.Time) *pressures {
+	made := &pressures{waiting: make(map[string]float64)}
+	for step := range 20 {
+		made.follow(&observe.Summary{At: from.Add(time.Duration(step) * 250 * time.Millisecond),
+			Waiting: map[string]float64{"lending": waiting}})
+	}
+	return made
+}
+
+// uneven is a picture of two zones: three balancers whose clients ask for a quarter, and
+// one whose clients ask for the rest.
+func uneven(at time.Time) *demand.Picture {
+	maadi, giza := demand.Place{Pool: "lending", Zone: "maadi"}, demand.Place{Pool: "lending", Zone: "giza"}
+	return &demand.Picture{At: at, Balancers: 4, Zones: map[demand.Zone]int{"maadi": 3, "giza": 1},
+		Places: map[demand.Place]demand.Load{maadi: {Asks: 100}, giza: {Asks: 300}},
+		Room:   map[demand.Place]float64{maadi: 10, giza: 10}}
+}
+
+// Balancers of zones in uneven demand see different parts of it, and must come to the
+// same pressure: with equal parts assumed, the clients of one zone were refused more.
+func TestBalancersOfAllZonesSeeTheSamePressure(t *testing.T) {
+	now, listed := time.Now(), map[demand.Zone]int{"maadi": 3, "giza": 1}
+	// Of 80 requests that wait, 20 come from maadi.
+	inMaadi := seen(20.0/3, now).on("lending", "maadi", uneven(now), listed)
+	inGiza := seen(60, now).on("lending", "giza", uneven(now), listed)
+	require.InDelta(t, 4, inMaadi.Waiting, 0.05)
+	require.InDelta(t, 4, inGiza.Waiting, 0.05)
+	require.Equal(t, now, inMaadi.SeenAt)
+}
+
+func TestPressureIsUnknownWithoutAPictureOfMost(t *testing.T) {
+	now := time.Now()
+	known := seen(20, now)
+	require.Zero(t, known.on("lending", "maadi", nil, map[demand.Zone]int{"maadi": 3}))
+	few := map[demand.Zone]int{"maadi": 3, "giza": 6}
+	require.Zero(t, known.on("lending", "maadi", uneven(now), few), "four of nine")
+	all := map[demand.Zone]int{"maadi": 3, "giza": 1}
+	require.Zero(t, known.on("covers", "maadi", uneven(now), all), "no room is known")
+	require.Zero(t, known.on("lending", "elsewhere", uneven(now), all), "a zone that it does not have")
+}
+
+// A balancer that sees no packets any more does not go on with what it saw.
+func TestPressureAges(t *testing.T) {
+	now := time.Now()
+	known := seen(20, now.Add(-time.Minute))
+	pressure := known.on("lending", "maadi", uneven(now), map[demand.Zone]int{"maadi": 3, "giza": 1})
+	require.Greater(t, pressure.Age(now), 50*time.Second)
+}
--- a/internal/balancer/renew.go
+++ b/internal/balancer/renew.go
@@ -34,6 +34,7 @@
 		return
 	}
 	c.scheduleTurn(now)
+	c.gate.takeRoutes(c.known.Routes())
 	previous := c.balancer.table.Swap(table)
 	if previous == nil || previous.Version != table.Version {
 		c.balancer.logger.Info("Control: configuration in force.", "version", table.Version,
--- a/internal/balancer/traffic.go
+++ b/internal/balancer/traffic.go
@@ -34,7 +34,9 @@
 	// settleAt is when joined witnesses have waited long enough; zero is never.
 	settleAt time.Time
 	// early are the packets that came before the first table.
-	early     early
+	early early
+	// refusals are the flows refused for want of room.
+	refusals  refusals
 	malformed atomic.Uint64
 	failed    atomic.Uint64
 }
@@ -204,6 +206,9 @@
 // carryOut does what was decided on a packet.
 func (t *traffic) carryOut(decision tokenroute.Decision, packet tokenroute.Packet, datagram []byte) {
 	t.counts[decision.Reason].Add(1)
+	if decision.Level != nil {
+		t.refusals.count(decision.Level)
+	}
 	codec := t.balancer.outside.Codec
 	var err error
 	switch decision.Verdict {
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -48,6 +48,8 @@
 	Health Name = "health"
 	// StepAside lets a balancer that can't carry its share say that it is not ready.
 	StepAside Name = "step_aside"
+	// Admission refuses new flows that a pool has no room for, the least urgent first.
+	Admission Name = "admission"
 )
 
 // All are the mechanisms, in the order of this list.
@@ -66,6 +68,7 @@
 	DemandShares,
 	Health,
 	StepAside,
+	Admission,
 }
 
 // Set is a set of mechanisms. It is immutable; the zero value is empty.
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -83,12 +83,18 @@
 // and after the flow.
 const surroundings = 3 * time.Second
 
-// Find returns the lines that tell of a request id or a flow, in the order of
+// client is the address of the client of the line's flow.
+func (line *Line) client() string {
+	address, _, _ := strings.Cut(line.Flow, ":")
+	return address
+}
+
+// Find returns the lines that tell of a request id, a flow or a client, in the order of
 // time: all of its flows, and what the balancers on its way went through.
 func Find(lines []Line, wanted string) []Line {
 	flows := make(map[string]bool)
 	for _, line := range lines {
-		if line.Flow != "" && (line.Request == wanted || line.Flow == wanted) {
+		if line.Flow != "" && (line.Request == wanted || line.Flow == wanted || line.client() == wanted) {
 			flows[line.Flow] = true
 		}
 	}
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -37,3 +37,15 @@
 	require.Equal(t, Find(lines, "abc"), Find(lines, "1.1.1.1:1-2.2.2.2:443"))
 	require.Empty(t, Find(lines, "nobody"))
 }
+
+// A request that was refused never told its id; its client is all that is known of it.
+func TestStoryOfAClient(t *testing.T) {
+	lines, err := Read(strings.NewReader(log + `   3.0 edge-a time=2026-06-07T12:04:03.000Z level=WARN msg="Traffic: flow refused." node=edge-a flow=1.1.1.12:7-2.2.2.2:443 reason=no_room pressure=5.1
+   3.1 edge-b time=2026-06-07T12:04:03.100Z level=WARN msg="Traffic: flow refused." node=edge-b flow=1.1.1.12:8-2.2.2.2:443 reason=no_room pressure=5.2
+`))
+	require.NoError(t, err)
+	var output bytes.Buffer
+	require.NoError(t, Write(&output, Find(lines, "1.1.1.12")))
+	require.Equal(t, 2, strings.Count(output.String(), "no_room"))
+	require.NotContains(t, output.String(), "request=abc")
+}
--- a/internal/tokenroute/builder.go
+++ b/internal/tokenroute/builder.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/admission"
 	"github.com/indigobarrow/indigobarrow/internal/directory"
 	"github.com/indigobarrow/indigobarrow/internal/flow"
 	"github.com/indigobarrow/indigobarrow/internal/rule"
@@ -97,7 +98,7 @@
 }
 
 func (b *builder) route(configured *apiv1.ServiceRoute, former map[string]bool) *Route {
-	made := &Route{Name: configured.GetName(), admitted: make(map[string]bool), admitAll: b.options.AdmitAll}
+	made := &Route{Name: configured.GetName(), urgency: admission.Urgency(configured.GetPriority()), admitted: make(map[string]bool), admitAll: b.options.AdmitAll}
 	for name := range former {
 		made.admitted[name] = true
 	}
--- a/internal/tokenroute/decide.go
+++ b/internal/tokenroute/decide.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/indigobarrow/indigobarrow/internal/admission"
 	"github.com/indigobarrow/indigobarrow/internal/flow"
 	"github.com/indigobarrow/indigobarrow/internal/mechanism"
 )
@@ -12,6 +13,8 @@
 	Key flow.Key
 	// First is set on the packet that opens a flow.
 	First bool
+	// Copy is set on repetitions of a first packet.
+	Copy  bool
 	Token Token
 	// Sequence, Acknowledged and Length are those of the packet's data.
 	Sequence, Acknowledged uint32
@@ -51,12 +54,14 @@
 	ReasonEvacuated
 	// ReasonCold: only cold back ends are left, and they bear no more now.
 	ReasonCold
+	// ReasonNoRoom: the pool is short of room, and the flow was drawn to give way.
+	ReasonNoRoom
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"token", "kept", "new_flow", "no_table", "no_route", "no_backend", "unknown_token", "foreign_token", "dead_backend",
-	"evacuated", "cold_backend",
+	"evacuated", "cold_backend", "no_room",
 }
 
 // String names the reason as logs and metrics do.
@@ -70,6 +75,8 @@
 	Verdict Verdict
 	Reason  Reason
 	Backend *Backend
+	// Level is that by which the flow was refused for want of room.
+	Level *admission.Level
 }
 
 // Decide decides one packet by a table, which may be nil while nothing is
@@ -145,6 +152,10 @@
 	if route == nil {
 		return Decision{Verdict: Refuse, Reason: ReasonNoRoute}
 	}
+	if level := f.refusing(route, packet); level != nil {
+		f.CountRefusal(level.Pool)
+		return Decision{Verdict: Refuse, Reason: ReasonNoRoom, Level: level}
+	}
 	chosen := f.First(route, packet.Key, now)
 	if chosen == nil {
 		return Decision{Verdict: Refuse, Reason: route.refusal(packet.Key.Hash())}
--- a/internal/tokenroute/flows.go
+++ b/internal/tokenroute/flows.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/indigobarrow/indigobarrow/internal/admission"
 	"github.com/indigobarrow/indigobarrow/internal/aside"
 	"github.com/indigobarrow/indigobarrow/internal/demand"
 	"github.com/indigobarrow/indigobarrow/internal/flow"
@@ -64,16 +65,18 @@
 	off    mechanism.Set
 	memory *memory
 	queue  []waiting
+	// places are what is asked of each pool in each zone.
+	places map[demand.Place]*placeAsked
 	silent map[uint64]*silence
 	loads  map[uint64]*load
 	pools  map[string]*poolUse
-	// places are what is asked of each pool in each zone.
-	places map[demand.Place]*placeAsked
 	// summarizedAt is when the last summary was made, judgedAt when answers were
 	// last compared.
 	summarizedAt, judgedAt time.Time
 	// cold counts what goes to cold back ends.
 	cold allowance
+	// levels say which new flows are refused for want of room.
+	levels atomic.Pointer[admission.Levels]
 	// liveness judges back ends by the later packets of their flows.
 	liveness *Liveness
 	// Retried counts first packets that went to another back end.
--- a/internal/tokenroute/table.go
+++ b/internal/tokenroute/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/admission"
 	"github.com/indigobarrow/indigobarrow/internal/directory"
 	"github.com/indigobarrow/indigobarrow/internal/flow"
 	"github.com/indigobarrow/indigobarrow/internal/rule"
@@ -67,6 +68,8 @@
 	// those of any pool.
 	admitted map[string]bool
 	admitAll bool
+	// urgency is that of the route's requests.
+	urgency admission.Urgency
 }
 
 // pool is the back ends of one pool that may take new flows.
