--- a/internal/tokenroute/flows.go
+++ b/internal/tokenroute/flows.go
@@ -20,6 +20,10 @@
 	AnswerTime = 150 * time.Millisecond
 	// maximumTried is how many back ends one new flow is offered to.
 	maximumTried = 3
+	// waitingWeight is how many open flows count as much as one request that waits: what
+	// waits fills a slot or a queue now, an open flow may rest for long. With 1 the bursts
+	// of two short fleets were served 0.003 worse, alike on both.
+	waitingWeight = 8
 	// The time for which a back end that did not answer is avoided doubles from
 	// the shortest to the longest.
 	avoidShortest = time.Second
@@ -176,7 +180,7 @@
 	if known == nil || f.off.Has(mechanism.LeastUsed) {
 		return 0
 	}
-	return known.flows + known.waiting
+	return known.flows + waitingWeight*known.waiting
 }
 
 // loadOf returns the load of a back end.
