Pressure counts the balancers that the picture has, not those listed

Where machines are rolled or cut off, what they carried passes those that are left, and to take as much for the listed ones made a pressure that was none.

--- a/internal/balancer/pressure.go
+++ b/internal/balancer/pressure.go
@@ -53,11 +53,11 @@
 			room += slots
 		}
 	}
-	part := askedPart(pool, own, picture, listed)
+	part := askedPart(pool, own, picture)
 	if room == 0 || part == 0 {
 		return admission.Pressure{}
 	}
-	waiting := p.waiting[string(pool)] * float64(listed[own]) / part
+	waiting := p.waiting[string(pool)] * float64(picture.Zones[own]) / part
 	seenAt := picture.At
 	if p.seenAt.Before(seenAt) {
 		seenAt = p.seenAt
@@ -65,13 +65,13 @@
 	return admission.Pressure{Waiting: waiting / room, SeenAt: seenAt}
 }
 
-// askedPart is the part of what is asked of a pool that the clients of a zone ask. Of a
-// zone whose balancers the picture has in part, the others are taken to see as much.
-func askedPart(pool demand.Pool, own demand.Zone, picture *demand.Picture, listed map[demand.Zone]int) float64 {
+// askedPart is the part of what is asked of a pool that the clients of a zone ask, by the
+// balancers that the picture has. Others may be gone, and what they carried passes those
+// that are left: to take them for as busy made pressure of a roll of half the machines.
+func askedPart(pool demand.Pool, own demand.Zone, picture *demand.Picture) float64 {
 	mine, all := 0.0, 0.0
-	for zone, seen := range picture.Zones {
+	for zone := range picture.Zones {
 		asks := picture.Places[demand.Place{Pool: pool, Zone: zone}].Asks
-		asks *= max(float64(listed[zone]), float64(seen)) / float64(seen)
 		all += asks
 		if zone == own {
 			mine = asks
--- a/internal/balancer/pressure_test.go
+++ b/internal/balancer/pressure_test.go
@@ -59,3 +59,13 @@
 	pressure := known.on("lending", "maadi", uneven(now), map[demand.Zone]int{"maadi": 3, "giza": 1})
 	require.Greater(t, pressure.Age(now), 50*time.Second)
 }
+
+// Where machines are rolled, what they carried passes those that are left. To take as much
+// for the listed ones as for these made a pressure of 4.5 of one of 4.
+func TestBalancersThatAreGoneCarryNothing(t *testing.T) {
+	now, listed := time.Now(), map[demand.Zone]int{"maadi": 3, "giza": 1}
+	rolled := uneven(now)
+	rolled.Balancers, rolled.Zones = 3, map[demand.Zone]int{"maadi": 2, "giza": 1}
+	require.InDelta(t, 4, seen(20.0/2, now).on("lending", "maadi", rolled, listed).Waiting, 0.05)
+	require.InDelta(t, 4, seen(60, now).on("lending", "giza", rolled, listed).Waiting, 0.05)
+}
