--- a/internal/balancer/demand.go
+++ b/internal/balancer/demand.go
@@ -60,6 +60,9 @@
 	for _, count := range c.listed {
 		listed += count
 	}
+	if listed == 0 {
+		return
+	}
 	whole := picture.Fresh(now) && float64(picture.Balancers) >= wholePart*float64(listed)
 	if whole == c.demand.whole {
 		return
--- a/internal/balancer/demand_test.go
+++ b/internal/balancer/demand_test.go
@@ -187,17 +187,31 @@
 	// All keep 125 for each four back ends, so of 200 it sends 75 to the eight.
 	require.InDelta(t, rule.MaximumWeight*75/8/(125.0/4), float64(weights["giza"]), 2)
 	require.False(t, control.divide(now), "the table was made with it")
+	require.True(t, control.newWeights(nil, now).byZone("lending"))
 	control.balancer.off, _ = mechanism.Parse([]string{string(mechanism.DemandShares)})
 	require.True(t, control.divide(now))
 	require.Equal(t, control.weights(now)["giza"], control.weights(now)["fayum"], "without it all others are alike")
 }
 
+// A zone without back ends takes the least used of all the others.
+func TestZoneWithoutBackendsTakesTheLeastUsedOfAll(t *testing.T) {
+	control, now := divided(200, 100, 200, 50)
+	control.measureRoom(map[string]uint64{"maadi": 7}, now)
+	picture := *control.demand.picture.Load()
+	control.demand.picture.Store(picture.WithRoom(control.demand.room.slots))
+	require.True(t, control.divide(now))
+	require.Zero(t, control.observed.planned["lending"]["maadi"])
+	weights := control.newWeights(map[string]uint64{"maadi": 7}, now)
+	require.NotNil(t, weights.plannedParts("lending"))
+	require.False(t, weights.byZone("lending"))
+}
+
 // An old picture is no ground to send flows anywhere.
 func TestOldPictureDividesNothing(t *testing.T) {
 	control, now := divided(200, 100, 200, 50)
 	require.True(t, control.divide(now))
 	control.weights(now)
-	require.True(t, control.divide(now.Add(demand.FreshFor+time.Second)))
+	require.True(t, control.divide(now.Add(dividesFor+time.Millisecond)))
 	require.Nil(t, control.observed.planned)
 }
 
--- a/internal/balancer/weigh.go
+++ b/internal/balancer/weigh.go
@@ -84,9 +84,17 @@
 }
 
 // byZone tells whether the weights alone choose the zone of a pool's new flows: where they
-// are the parts that were planned. A policy, the spread after a start, and few back ends in
-// the zone are weighed otherwise, and the least used of all zones is taken there.
+// are the parts that were planned, and the own zone keeps one. Where it has no back end, the
+// weights of the others differ little, and the least used among all shows a zone that is cut
+// off before anybody tells: with a zone evacuated while another was cut off, 129 more requests
+// were late without.
 func (w *weights) byZone(pool string) bool {
+	return w.byParts(pool) && w.plannedParts(pool)[demand.Zone(w.zone)] > 0
+}
+
+// byParts tells whether a pool's weights are the parts that were planned. A policy, the spread
+// after a start, and few back ends in the zone are weighed otherwise.
+func (w *weights) byParts(pool string) bool {
 	c := w.control
 	return !w.spread && c.programs.find(c.known, pool) == nil && w.plannedParts(pool) != nil
 }
