--- a/internal/balancer/divide.go
+++ b/internal/balancer/divide.go
@@ -13,11 +13,18 @@
 // where all others are avoided.
 const leastPart = 0.001
 
+// dividesFor is how old a picture may be that new flows are divided by. While nothing fails
+// none gets older than 2.3 s; beyond, something does, as a zone that is cut off, and what
+// this balancer sees alone is newer.
+const dividesFor = 3 * time.Second
+
 // divide plans the parts of new flows for each zone by the latest picture, and tells
 // whether the table should be made anew.
 func (c *control) divide(now time.Time) bool {
 	picture := c.demand.picture.Load()
-	if !picture.Fresh(now) || c.balancer.off.Has(mechanism.DemandShares) || c.balancer.off.Has(mechanism.ZoneSharing) {
+	off := c.balancer.off
+	old := !picture.Fresh(now) || picture.Age(now) > dividesFor
+	if old || off.Has(mechanism.DemandShares) || off.Has(mechanism.ZoneSharing) {
 		return c.observed.plan(nil)
 	}
 	own := demand.Zone(c.balancer.settings.Load().GetZone())
