Requests that are repeated wait again, and late answers are learned from

A request without another packet of its flow for half a second was taken for lost, while clients that wait pause for up to 1.6 s. Its repetitions never counted again and its answer taught nothing, so slow back ends looked the least used and drew flows. A late answer was not counted before.

Timing the acknowledgement of the opening was not tried.

--- a/internal/tokenroute/asked.go
+++ b/internal/tokenroute/asked.go
@@ -12,10 +12,17 @@
 	timeStep = 1.0 / 32
 	// A request that waits for lostTimes the mean without another packet of its flow is
 	// lost: the back end has reset the flow, which clients don't tell. It counts no longer
-	// than lostLongest, and no shorter than lostShortest.
-	lostTimes    = 8
-	lostShortest = 500 * time.Millisecond
-	lostLongest  = 3 * time.Second
+	// than lostLongest.
+	lostTimes   = 8
+	lostLongest = 3 * time.Second
+	// repeatFirst is when clients repeat a request first, and each pause after that is as
+	// long as they have waited, and repeatFirst more: 200, 600, 1400, 3000 ms. So a client
+	// that still waits shows it by then, and repeatLate later on a busy machine: the stalls
+	// of balancers with 0.06 cores are of that length. No request is lost before.
+	repeatFirst = 200 * time.Millisecond
+	repeatLate  = 300 * time.Millisecond
+	// wayWindow is for how long the least way counts at least; ways change with routes.
+	wayWindow = 10 * time.Second
 )
 
 // placeAsked is what the flows that pass here ask of the back ends of a pool in a zone
@@ -27,9 +34,11 @@
 	// is used there only.
 	home *placeAsked
 	asks int
-	// took is the mean time of an answer, and way that of a flow's opening, which takes the
-	// way there and back and no work; in seconds.
-	took, way float64
+	// took is the mean time of an answer in seconds, and way the least from a flow's opening
+	// to its first request, which takes the way there and back and no work. The mean would
+	// hold what clients think meanwhile, and openings that were lost and repeated.
+	took float64
+	way  least
 	// begun are the requests in the order in which they began.
 	begun []begun
 }
@@ -81,22 +90,61 @@
 func (s *flowState) countAsked(begins bool, now time.Time) {
 	place := s.load.place
 	if !begins {
+		s.lost = false
 		place.answers++
 		follow(&place.took, now.Sub(s.waitsSince))
 		return
 	}
 	opens := !s.asked && s.opening.count > 0
 	if opens {
-		follow(&place.way, now.Sub(s.opening.sentAt))
+		place.way.take(now.Sub(s.opening.sentAt), now)
 	} else {
 		place.home.asks++
 	}
-	s.asked, s.waitsSince = true, now
-	if len(place.begun) < generationLimit {
-		place.begun = append(place.begun, begun{state: s, at: now})
+	s.asked, s.lost, s.waitsSince = true, false, now
+	place.begin(s)
+}
+
+// begin notes a request that waits.
+func (p *placeAsked) begin(s *flowState) {
+	if len(p.begun) < generationLimit {
+		p.begun = append(p.begun, begun{state: s, at: s.waitsSince})
 	}
 }
 
+// waitsStill takes that a request was repeated. One that was taken for lost waits again, and
+// has waited all along: else slow back ends would look the least used.
+func (s *flowState) waitsStill(now time.Time) {
+	if !s.lost || s.load == nil {
+		return
+	}
+	s.lost = false
+	s.wait(true, now)
+	s.load.place.begin(s)
+}
+
+// least is the least of some samples in wayWindow to twice as long, in seconds; 0 is none.
+type least struct {
+	current, previous float64
+	turnedAt          time.Time
+}
+
+func (l *least) take(sample time.Duration, now time.Time) {
+	if now.Sub(l.turnedAt) > wayWindow {
+		l.previous, l.current, l.turnedAt = l.current, 0, now
+	}
+	if l.current == 0 || sample.Seconds() < l.current {
+		l.current = sample.Seconds()
+	}
+}
+
+func (l *least) value() float64 {
+	if l.previous == 0 || l.current > 0 && l.current < l.previous {
+		return l.current
+	}
+	return l.previous
+}
+
 // follow moves a mean, in seconds, by one time.
 func follow(mean *float64, sample time.Duration) {
 	if *mean == 0 {
@@ -109,31 +157,38 @@
 // dropLost ends the wait of requests that nobody answers any more. The memory would keep
 // them for seconds, and a place look full long after its back ends had reset flows.
 func (p *placeAsked) dropLost(now time.Time) {
-	lost := time.Duration(lostTimes * p.took * float64(time.Second))
-	lost = min(max(lost, lostShortest), lostLongest)
+	usual := time.Duration(lostTimes * p.took * float64(time.Second))
 	waiting := p.begun
 	p.begun = nil
 	for _, each := range waiting {
 		state := each.state
 		switch {
 		case !state.waits || !state.waitsSince.Equal(each.at):
-		case now.Sub(state.track.passedAt) > lost:
+		case now.Sub(state.track.passedAt) > min(max(usual, state.repeatsWithin()), lostLongest):
 			state.release(now)
+			state.lost = true
 		default:
 			p.begun = append(p.begun, each)
 		}
 	}
 }
 
+// repeatsWithin is within what time from its latest packet a flow that waits shows another.
+func (s *flowState) repeatsWithin() time.Duration {
+	return s.track.passedAt.Sub(s.waitsSince) + repeatFirst + repeatLate
+}
+
 // working is the part of the time of a request that it is at its back end.
 func (p *placeAsked) working() float64 {
 	if p.took <= 0 {
 		return 1
 	}
-	return min(1, max(leastWorking, 1-p.way/p.took))
+	return min(1, max(leastWorking, 1-p.way.value()/p.took))
 }
 
-// leastWorking is the least part, where answers take hardly longer than their way.
+// leastWorking is the least part, where answers take hardly longer than their way, or less
+// than openings did. With none, a place would look idle however much is asked of it, and draw
+// what others have no room for; a twentieth is the 5 ms of work in an answer of 100 ms.
 const leastWorking = 0.05
 
 // summarizePlaces returns what was asked of each place since the last summary, and begins
--- a/internal/tokenroute/asked_test.go
+++ b/internal/tokenroute/asked_test.go
@@ -114,3 +114,99 @@
 		}
 	}
 }
+
+// slowly lets 8 clients always wait for answers that take so long, after quick ones or
+// none; they repeat as clients do. It returns what waits on average, how many answers were
+// counted, and how often nothing seemed to wait at a summary.
+func slowly(table *Table, flows *Flows, took, rounds int) (waiting, answers float64, idle int) {
+	flows.Summarize(at(0))
+	summaries := 0.0
+	for now := 0; now <= rounds*took; now += 50 {
+		round, since := now/took, now%took
+		for client := range byte(8) {
+			if since == 0 && round > 0 {
+				flows.Decide(table, Packet{Key: clientKey(client), Token: 2, Acknowledged: 5000*uint32(round) + 1}, at(now))
+			}
+			switch since {
+			case 0, 200, 600, 1400, 3000:
+				flows.Decide(table, request(client, 2, uint32(round+1)), at(now))
+			}
+		}
+		summary := flows.Summarize(at(now))
+		if summary == nil || now == 0 {
+			continue
+		}
+		summaries++
+		for _, load := range summary.Places {
+			waiting += load.Waiting
+			answers += load.Answers * summaryPause.Seconds()
+		}
+		if flows.loads[2].waiting == 0 {
+			idle++
+		}
+	}
+	return waiting / summaries, answers, idle
+}
+
+// Slow back ends are no idle ones. Clients that wait pause for up to 1.6 s, and their
+// requests counted no longer after 0.5 s of that: 8 that always waited were told as 4, and
+// none of 72 answers was counted.
+func TestSlowAnswersCountWhileClientsWait(t *testing.T) {
+	for _, took := range []int{1300, 2500, 4000} {
+		for _, quickBefore := range []bool{false, true} {
+			table, flows := NewTable(zoned(), options()), NewFlows(mechanism.Set{}).InZone("maadi")
+			if quickBefore {
+				answered(flows, table, 9, 2, -3000)
+			}
+			waiting, answers, idle := slowly(table, flows, took, 10)
+			t.Logf("took %d ms, quick before %v: waiting %.2f, answers %.0f, idle %d", took, quickBefore, waiting, answers, idle)
+			require.Greater(t, waiting, 7.5)
+			require.InDelta(t, 80, answers, 2)
+			require.Zero(t, idle)
+		}
+	}
+}
+
+// The answer to a request that was taken for lost tells how slow the back end is.
+func TestLateAnswersAreLearned(t *testing.T) {
+	table, flows := NewTable(zoned(), options()), NewFlows(mechanism.Set{}).InZone("maadi")
+	flows.Decide(table, request(1, 2, 1), at(0))
+	summaryAt(flows, 1500)
+	require.Zero(t, flows.loads[2].waiting)
+	flows.Decide(table, Packet{Key: clientKey(1), Token: 2, Acknowledged: 5001}, at(2000))
+	flows.Decide(table, Packet{Key: clientKey(1), Token: 2, Acknowledged: 6001}, at(2010))
+	require.Equal(t, 1.0, summaryAt(flows, 2500)[lendingIn("maadi")].Answers)
+	require.InDelta(t, 2, flows.loads[2].place.took, 1e-9)
+	require.Zero(t, flows.loads[2].waiting)
+}
+
+// What clients think before their first request is no way.
+func TestThinkingIsNoWay(t *testing.T) {
+	made := options()
+	made.Weigh = func(entry directory.BackendEntry) uint32 {
+		if entry.GetZone() == "maadi" {
+			return 1000
+		}
+		return 0
+	}
+	table, flows := NewTable(zoned(), made), NewFlows(mechanism.Set{}).InZone("maadi")
+	summaryAt(flows, 0)
+	thinks := []int{400, 20, 300, 400}
+	tokens := make([]Token, len(thinks))
+	for now := 0; now < 1000; now += 10 {
+		for client, think := range thinks {
+			key := clientKey(byte(client))
+			n := uint32((now-think)/100) + 1
+			switch {
+			case now == 0:
+				tokens[client] = flows.Decide(table, Packet{Key: key, First: true}, at(0)).Backend.Token
+			case now < think:
+			case (now-think)%100 == 0:
+				flows.Decide(table, request(byte(client), tokens[client], n), at(now))
+			case (now-think)%100 == 80:
+				flows.Decide(table, Packet{Key: key, Token: tokens[client], Acknowledged: 5000*n + 1}, at(now))
+			}
+		}
+	}
+	require.InDelta(t, 0.75, flows.placeAsked("lending", "maadi").working(), 0.01, "80 ms, of those 20 on the way")
+}
--- a/internal/tokenroute/liveness.go
+++ b/internal/tokenroute/liveness.go
@@ -169,6 +169,7 @@
 		l.follow(packet, state, backend, now)
 	case known.sequence == packet.Sequence:
 		known.backend, known.passedAt = backend, now
+		state.waitsStill(now)
 		l.repeat(known, packet, now)
 	default:
 		known.passedAt = now
--- a/internal/tokenroute/memory.go
+++ b/internal/tokenroute/memory.go
@@ -32,6 +32,8 @@
 	// latest one did.
 	asked      bool
 	waitsSince time.Time
+	// lost is set while the latest request was taken for lost and has not been answered.
+	lost bool
 }
 
 // load is how much of a back end the flows use that pass here.
@@ -75,12 +77,17 @@
 	l.flows++
 }
 
-// setWaiting counts whether the flow waits for an answer, and what it asked.
+// setWaiting counts whether the flow waits for an answer, and what it asked. The answer to a
+// request that was taken for lost counts too.
 func (s *flowState) setWaiting(waits bool, now time.Time) {
-	if s.load == nil || s.waits == waits {
+	late := s.lost && !waits
+	if s.load == nil || s.waits == waits && !late {
 		return
 	}
 	s.countAsked(waits, now)
+	if late {
+		return // its wait has ended already
+	}
 	s.wait(waits, now)
 }
 
