Weights are of a million, so that small parts of many back ends are what was planned

Weights were rounded up to 1 of 1000 for each back end, and zones that get nothing had that much each: with 14 back ends in the zone and 1,400 elsewhere, 0.091 of the flows went away where none should. The least part is now 0.0005 for a zone's back ends together, and weights are of a million; scores stay below 2^59.

--- a/internal/balancer/divide.go
+++ b/internal/balancer/divide.go
@@ -9,9 +9,9 @@
 	"github.com/indigobarrow/indigobarrow/internal/shares"
 )
 
-// leastPart is the weight of zones that get nothing, beside the greatest. It only counts
-// where all others are avoided.
-const leastPart = 0.001
+// leastPart is the part of zones that get nothing, all back ends of each together. It only
+// counts where all others are avoided.
+const leastPart = 0.0005
 
 // dividesFor is how old a picture may be that new flows are divided by. While nothing fails
 // none gets older than 2.3 s; beyond, something does, as a zone that is cut off, and what
@@ -51,14 +51,11 @@
 func (c *control) partWeight(parts map[demand.Zone]float64, place demand.Place) float64 {
 	each := func(zone demand.Zone) float64 {
 		backends := c.demand.room.backends[demand.Place{Pool: place.Pool, Zone: zone}]
-		return parts[zone] / math.Max(1, float64(backends))
+		return math.Max(parts[zone], leastPart) / math.Max(1, float64(backends))
 	}
-	greatest := 0.0
+	greatest := each(place.Zone)
 	for zone := range parts {
 		greatest = math.Max(greatest, each(zone))
 	}
-	if greatest == 0 {
-		return 1
-	}
-	return math.Max(each(place.Zone)/greatest, leastPart)
+	return each(place.Zone) / greatest
 }
--- a/internal/rule/rule.go
+++ b/internal/rule/rule.go
@@ -17,8 +17,10 @@
 	"github.com/indigobarrow/indigobarrow/internal/flow"
 )
 
-// MaximumWeight is the largest weight of a candidate.
-const MaximumWeight = 1000
+// MaximumWeight is the largest weight of a candidate. Weights are whole numbers, so it bounds
+// how small the part is that a back end may take beside others: with 1000, the 1,400 back ends
+// elsewhere of a zone of 14 took 0.091 of its flows at the least weight there is.
+const MaximumWeight = 1_000_000
 
 // NoBackend is the back end number that stands for none.
 const NoBackend = 0
@@ -104,7 +106,7 @@
 		score := negativeLogarithm(mix(hash ^ candidate.seed))
 		weight := uint64(candidate.Weight)
 		// score/weight < bestScore/bestWeight without division; the products
-		// stay below 2^49.
+		// stay below 2^59.
 		if best == NoBackend || score*bestWeight < bestScore*weight {
 			best, bestScore, bestWeight = candidate.Backend, score, weight
 		}
@@ -144,7 +146,7 @@
 }
 
 // Score returns the score of each candidate for a flow hash, lowest first, for
-// explanations. The score is scaled by 1000/weight; weight 0 has the highest.
+// explanations. The score is scaled by MaximumWeight/weight; weight 0 has the highest.
 func (rule *Rule) Score(hash uint64) []Score {
 	scores := make([]Score, 0, len(rule.candidates))
 	for _, candidate := range rule.candidates {
