Plans are compared over all zones, pools with a plan follow it alone, and lapses have hysteresis

- plan walked the zones of the new plan only; the part of a zone that left it went unseen.
- take asked for a new table whenever the share by the own zone moved, also where the weights are by the picture.
- A picture that came and went was a table each time: one that lapsed is planned by again once it has been fresh for 3 s.
In the test, with one in four looks too old, 1 table in 20 s.
- Loads that are NaN, infinite or negative are read as none.
- Where there are more places than a message holds, pools were left out by their demand, by each balancer others, so sums lacked parts.
- Asks say that they count tries again; FreshFor says what its 5 s are made of.

--- a/internal/balancer/demand.go
+++ b/internal/balancer/demand.go
@@ -1,9 +1,9 @@
 package balancer
 
 import (
-	"cmp"
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -29,6 +29,9 @@
 	pace     demand.Pace
 	telling  bool
 	tellings tellings
+	// lapsedAt is when a picture that was planned by was last found too old; zero is since
+	// it was fresh for long enough.
+	lapsedAt time.Time
 	// whole is set while the demand of all is known.
 	whole bool
 }
@@ -147,8 +150,9 @@
 	}
 }
 
-// encodePicture returns a picture for a message. Pools are left out whole, those with the
-// least demand, where there are too many places.
+// encodePicture returns a picture for a message. Where there are too many places, pools are
+// left out whole, the last by name: all balancers leave out the same, so that what is told of
+// the others is the sum of all, and is told at each level.
 func encodePicture(picture demand.Picture, now time.Time) *apiv1.DemandReport {
 	encoded := &apiv1.DemandReport{
 		Balancers:       uint32(picture.Balancers),
@@ -158,13 +162,10 @@
 		encoded.Zones = append(encoded.Zones, &apiv1.ZoneCount{Zone: string(zone), Balancers: uint32(picture.Zones[zone])})
 	}
 	pools := make(map[demand.Pool][]*apiv1.PlaceLoad)
-	total := make(map[demand.Pool]float64)
 	for place, load := range picture.Places {
 		pools[place.Pool] = append(pools[place.Pool], encodeLoad(place, load))
-		total[place.Pool] += load.Asks
 	}
-	largest := func(a, b demand.Pool) int { return cmp.Or(cmp.Compare(total[b], total[a]), cmp.Compare(a, b)) }
-	for _, pool := range slices.SortedFunc(maps.Keys(pools), largest) {
+	for _, pool := range slices.Sorted(maps.Keys(pools)) {
 		if len(encoded.Places)+len(pools[pool]) > placesLimit {
 			break
 		}
@@ -199,12 +200,22 @@
 	for _, each := range encoded.GetPlaces() {
 		place := demand.Place{Pool: demand.Pool(each.GetPool()), Zone: demand.Zone(each.GetZone())}
 		made.Places[place] = demand.Load{
-			Waiting:  float64(each.GetWaiting()),
-			Openings: float64(each.GetOpenings()),
-			Answers:  float64(each.GetAnswers()),
-			Refusals: float64(each.GetRefusals()),
-			Asks:     float64(each.GetAsks()),
+			Waiting:  decodeLoad(each.GetWaiting()),
+			Openings: decodeLoad(each.GetOpenings()),
+			Answers:  decodeLoad(each.GetAnswers()),
+			Refusals: decodeLoad(each.GetRefusals()),
+			Asks:     decodeLoad(each.GetAsks()),
 		}
 	}
 	return made
 }
+
+// decodeLoad reads a number of requests. What is none counts as 0: one balancer that tells
+// it would spoil the sum of all.
+func decodeLoad(told float32) float64 {
+	load := float64(told)
+	if math.IsNaN(load) || math.IsInf(load, 0) || load < 0 {
+		return 0
+	}
+	return load
+}
--- a/internal/balancer/divide.go
+++ b/internal/balancer/divide.go
@@ -23,8 +23,7 @@
 func (c *control) divide(now time.Time) bool {
 	picture := c.demand.picture.Load()
 	off := c.balancer.off
-	old := !picture.Fresh(now) || picture.Age(now) > dividesFor
-	if old || off.Has(mechanism.DemandShares) || off.Has(mechanism.ZoneSharing) {
+	if !c.steady(picture, now) || off.Has(mechanism.DemandShares) || off.Has(mechanism.ZoneSharing) {
 		return c.observed.plan(nil)
 	}
 	own := demand.Zone(c.balancer.settings.Load().GetZone())
@@ -37,6 +36,26 @@
 	return c.observed.plan(planned)
 }
 
+// returnTime is for how long a picture that had lapsed must be fresh to be planned by again.
+// Each going and coming is a table and other shares; reports that are late come a second
+// apart, so three in time are needed.
+const returnTime = 3 * time.Second
+
+// steady tells whether plans may rest on the picture.
+func (c *control) steady(picture *demand.Picture, now time.Time) bool {
+	if !picture.Fresh(now) || picture.Age(now) > dividesFor {
+		if c.observed.planned != nil || !c.demand.lapsedAt.IsZero() {
+			c.demand.lapsedAt = now
+		}
+		return false
+	}
+	if now.Sub(c.demand.lapsedAt) < returnTime {
+		return false
+	}
+	c.demand.lapsedAt = time.Time{}
+	return true
+}
+
 // poolsOf are the pools that a picture tells of.
 func poolsOf(picture *demand.Picture) map[demand.Pool]bool {
 	found := make(map[demand.Pool]bool)
--- a/internal/balancer/divide_test.go
+++ b/internal/balancer/divide_test.go
@@ -142,3 +142,56 @@
 		}
 	}
 }
+
+// A zone that the new plan no longer names had a part before, too.
+func TestZonesThatLeaveThePlanCount(t *testing.T) {
+	var o observed
+	parts := func(zones map[demand.Zone]float64) map[demand.Pool]map[demand.Zone]float64 {
+		return map[demand.Pool]map[demand.Zone]float64{"lending": zones}
+	}
+	o.parts = parts(map[demand.Zone]float64{"maadi": 0.68, "giza": 0.28, "fayum": 0.04})
+	require.False(t, o.plan(parts(map[demand.Zone]float64{"maadi": 0.7, "giza": 0.3})))
+	o.parts = parts(map[demand.Zone]float64{"maadi": 0.66, "giza": 0.26, "fayum": 0.08})
+	require.True(t, o.plan(parts(map[demand.Zone]float64{"maadi": 0.7, "giza": 0.3})))
+}
+
+// Pools that are divided by the picture take no new table for what one zone sees alone.
+func TestPlannedPoolsDontFollowTheirOwnZone(t *testing.T) {
+	now := time.Now()
+	control := served(now, map[string]int{"maadi": 4, "giza": 4})
+	require.True(t, control.plan(now))
+	control.renewTable(now)
+	require.False(t, control.observeWaiting("lending", 12, now))
+	control.observed.planned = nil
+	control.renewTable(now)
+	require.True(t, control.observeWaiting("lending", 3, now.Add(10*time.Second)), "without a plan they do")
+}
+
+// A picture that comes and goes, as reports are late, makes a table each time. One that has
+// lapsed is planned by again once it has been fresh for returnTime.
+func TestPictureThatComesAndGoesIsLeftAlone(t *testing.T) {
+	now := time.Now()
+	control := served(now, map[string]int{"maadi": 4, "giza": 4})
+	require.True(t, control.plan(now))
+	control.renewTable(now)
+	tables := 0
+	for step := range 40 {
+		now = now.Add(500 * time.Millisecond)
+		picture := *control.demand.picture.Load()
+		picture.At = now
+		if step%4 == 0 {
+			picture.At = now.Add(-demand.FreshFor - time.Second)
+		}
+		control.demand.picture.Store(&picture)
+		if control.divide(now) {
+			tables++
+			control.renewTable(now)
+		}
+	}
+	require.Equal(t, 1, tables, "none but as it lapses")
+	for range 8 {
+		now = now.Add(500 * time.Millisecond)
+		control.plan(now)
+	}
+	require.NotNil(t, control.observed.planned)
+}
--- a/internal/balancer/observed.go
+++ b/internal/balancer/observed.go
@@ -38,6 +38,8 @@
 	// parts those that the table in force was made with; pools of which no picture tells
 	// have none.
 	planned, parts map[demand.Pool]map[demand.Zone]float64
+	// divided are the pools whose weights in the table in force are by parts.
+	divided map[string]bool
 	// unwell are the back ends whose answers differ from the others', and
 	// healthWeights the factors below 1 that the table in force was made with.
 	unwell        map[uint64]observe.Health
@@ -83,7 +85,7 @@
 	changed := false
 	for pool, waiting := range summary.Waiting {
 		o.waiting[pool] += part * (waiting - o.waiting[pool])
-		if zone := o.zones[pool]; zone != nil {
+		if zone := o.zones[pool]; zone != nil && !o.divided[pool] {
 			changed = changed || math.Abs(o.remoteShare(pool, zone)-o.remote[pool]) > shareStep
 		}
 	}
@@ -138,13 +140,19 @@
 	}
 	for pool, zones := range parts {
 		applied, found := o.parts[pool]
-		if !found {
+		if !found || partsMove(zones, applied) || partsMove(applied, zones) {
 			return true
 		}
-		for zone, part := range zones {
-			if math.Abs(part-applied[zone]) > shareStep {
-				return true
-			}
+	}
+	return false
+}
+
+// partsMove tells whether the part of a zone differs by enough from another one's. Zones that
+// only the other one names are not looked at.
+func partsMove(parts, other map[demand.Zone]float64) bool {
+	for zone, part := range parts {
+		if math.Abs(part-other[zone]) > shareStep {
+			return true
 		}
 	}
 	return false
--- a/internal/balancer/weigh.go
+++ b/internal/balancer/weigh.go
@@ -57,6 +57,10 @@
 	c.measureRoom(evacuated, now)
 	made.zones = c.demand.room.zones
 	c.observed.startTable(made.zones)
+	c.observed.divided = make(map[string]bool, len(made.zones))
+	for pool := range made.zones {
+		c.observed.divided[pool] = made.byZone(pool)
+	}
 	return made
 }
 
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -41,6 +41,8 @@
 	// Asks are the new flows, and the requests beyond the first of each flow, that the
 	// balancers of the zone were asked to carry a second, wherever they went, those that
 	// were refused included. They tell of the zone's clients, the others of its back ends.
+	// A client that tries again from another port asks again: one that is refused or shed
+	// counts up to three times. Where zones shed unlike, that gives the fuller one more.
 	Asks float64
 }
 
--- a/internal/demand/tree.go
+++ b/internal/demand/tree.go
@@ -16,8 +16,9 @@
 	// 1,200, its head and the reader. Reports of more are not taken, which also ends what
 	// would go round in a circle.
 	levelsLimit = 4
-	// FreshFor is the age up to which decisions rest on a picture: the way over all
-	// levels at the usual pace of a second a level, and back.
+	// FreshFor is the age up to which decisions rest on a picture. Sums go up within some
+	// 0.3 s a level, and what all see comes down within 1 to 1.5 s a level: with three
+	// levels that is 5.4 s where all are as late as they may be, and 3 to 4 s mostly.
 	FreshFor = 5 * time.Second
 )
 
