--- a/internal/tokenroute/asked_test.go
+++ b/internal/tokenroute/asked_test.go
@@ -49,7 +49,7 @@
 	require.Zero(t, summaryAt(flows, 2000)[lendingIn("giza")].Asks, "each counts once")
 }
 
-// Back ends that are full reset flows, which clients don't tell: on a day of bursts 1,483
+// Back ends that are full reset flows, which clients don't tell: in bursts, 1,483
 // requests seemed to wait for 40 slots, and 1,120 did four seconds after its end.
 func TestRequestsThatNobodyAnswersDontWaitForLong(t *testing.T) {
 	table, flows := NewTable(zoned(), options()), NewFlows(mechanism.Set{}).InZone("maadi")
