--- a/internal/tokenroute/asked_test.go
+++ b/internal/tokenroute/asked_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/demand"
 	"github.com/indigobarrow/indigobarrow/internal/directory"
 	"github.com/indigobarrow/indigobarrow/internal/mechanism"
@@ -210,3 +211,53 @@
 	}
 	require.InDelta(t, 0.75, flows.placeAsked("lending", "maadi").working(), 0.01, "80 ms, of those 20 on the way")
 }
+
+// manyZoned has so many back ends in each of two zones, named from 1 on; those of giza have
+// the greater numbers.
+func manyZoned(each int) *directory.Directory {
+	changes := []*apiv1.DirectoryChange{routes(1, route(1, share("lending", 1)))}
+	for number := 1; number <= 2*each; number++ {
+		zone := "maadi"
+		if number > each {
+			zone = "giza"
+		}
+		changes = append(changes, inZone(backend(2, uint64(number), "lending"), zone))
+	}
+	return known(changes...)
+}
+
+// Four back ends of the chosen zone are compared, the first four in the flow's order, and
+// the least used of them is taken.
+func TestFourOfTheChosenZoneAreCompared(t *testing.T) {
+	made := options()
+	made.ByZone = func(string) bool { return true }
+	table := NewTable(manyZoned(8), made)
+	none := func(*Backend) Preference { return Preferred }
+	zones := make(map[string]int)
+	for port := range 400 {
+		used := func(backend *Backend) int { return int(backend.Number*7+uint64(port)) % 17 }
+		compared := make(map[uint64]*Backend)
+		route := table.Route(key(port).Address())
+		first := route.poolFor(key(port).Hash())
+		zone := first.backends[first.rule.Pick(key(port).Hash())-1].Zone
+		zones[zone]++
+		chosen := route.Choose(key(port).Hash(), none, func(backend *Backend) int {
+			compared[backend.Number] = backend
+			return used(backend)
+		})
+		require.Len(t, compared, 4)
+		ahead := 0
+		for _, score := range first.rule.Score(key(port).Hash()) {
+			backend := first.backends[score.Backend-1]
+			if backend.Zone == zone && ahead < 4 {
+				require.Contains(t, compared, backend.Number, "the first in the flow's order")
+				ahead++
+			}
+		}
+		for _, each := range compared {
+			require.Equal(t, zone, each.Zone)
+			require.LessOrEqual(t, used(chosen), used(each))
+		}
+	}
+	require.Len(t, zones, 2, "both zones are chosen")
+}
