Pressure is told where there is no room at all

Places without a back end that takes new flows had no metric, where it matters most: it is +Inf where requests wait or were refused, and 0 where clients are only served elsewhere. The test failed before.

--- a/internal/balancer/demand_test.go
+++ b/internal/balancer/demand_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
@@ -268,3 +269,20 @@
 	control.measureRoom(map[string]uint64{"giza": 7}, now)
 	require.NotContains(t, control.demand.room.slots, lendingIn("giza"), "an evacuated zone has none")
 }
+
+// Where there is no room at all, that is told, and not left out.
+func TestPressureIsToldWhereThereIsNoRoom(t *testing.T) {
+	now := time.Now()
+	picture := asksOf("maadi", 10, 2, now)
+	picture.Places[lendingIn("giza")] = demand.Load{Asks: 5, Refusals: 5}
+	picture.Places[lendingIn("fayum")] = demand.Load{Asks: 5}
+	told := make(map[string]float64)
+	collectDemand(picture.WithRoom(map[demand.Place]float64{lendingIn("maadi"): 4}),
+		func(description *prometheus.Desc, value float64, labels ...string) {
+			if description == pressureDescription {
+				told[labels[1]] = value
+			}
+		})
+	require.Equal(t, map[string]float64{"maadi": 0.5, "giza": math.Inf(1), "fayum": 0}, told,
+		"clients of fayum are served elsewhere")
+}
--- a/internal/balancer/demandmetrics.go
+++ b/internal/balancer/demandmetrics.go
@@ -31,11 +31,17 @@
 	for zone, count := range picture.Zones {
 		gauge(pictureBalancersDescription, float64(count), string(zone))
 	}
-	for place, slots := range picture.Room {
-		gauge(roomDescription, slots, string(place.Pool), string(place.Zone))
+	tell := func(place demand.Place) {
+		gauge(roomDescription, picture.Room[place], string(place.Pool), string(place.Zone))
 		gauge(pressureDescription, picture.Pressure(place), string(place.Pool), string(place.Zone))
 	}
+	for place := range picture.Room {
+		tell(place)
+	}
 	for place, load := range picture.Places {
 		gauge(asksDescription, load.Asks, string(place.Pool), string(place.Zone))
+		if _, found := picture.Room[place]; !found {
+			tell(place)
+		}
 	}
 }
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -16,7 +16,10 @@
 //	load := picture.Places[demand.Place{Pool: pool, Zone: zone}]
 package demand
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Pool is the name of a pool of back ends.
 type Pool string
@@ -79,13 +82,17 @@
 }
 
 // Pressure is the part of a place's room that is in use: from 1 on requests wait for a
-// slot. It is 0 where nobody asks, and infinite where somebody does and there is no room.
+// slot. It is 0 where nobody asks, and infinite where requests wait or were refused and
+// there is no room.
 func (p *Picture) Pressure(place Place) float64 {
-	waiting := p.Places[place].Waiting
-	if waiting == 0 {
-		return 0
+	load, room := p.Places[place], p.Room[place]
+	switch {
+	case room > 0:
+		return load.Waiting / room
+	case load.Waiting > 0 || load.Refusals > 0:
+		return math.Inf(1)
 	}
-	return waiting / p.Room[place]
+	return 0
 }
 
 // WithRoom returns the picture with the room of places.
