Back ends that are judged dead are no room, though the directory has them

Their slots counted until their entries went, so a zone of dead back ends drew what others had no room for. Summaries tell the numbers of those judged dead, here or by joined witnesses, and each counts for nothing for 5 s after. Those that only missed a first packet still count: that is known for a fraction of a second and of single back ends. Without the subtraction the new test has 8 slots where 4 live.

--- a/internal/balancer/demand.go
+++ b/internal/balancer/demand.go
@@ -44,13 +44,14 @@
 	d := &c.demand
 	if summary := c.balancer.traffic.observed.Load(); summary != nil {
 		d.own.Take(summary.Places, summary.At)
+		d.room.takeDead(summary, c.balancer.table.Load(), now)
 	}
 	zone := demand.Zone(c.balancer.settings.Load().GetZone())
 	above, all := c.core.Levels()
 	d.tree.See(d.own.Picture(zone, now), demand.Levels{Above: above, All: all})
 	d.room.look(now)
 	picture := d.tree.Picture(now)
-	d.picture.Store(picture.WithRoom(d.room.slots))
+	d.picture.Store(picture.WithRoom(d.room.living(now)))
 	c.tellWhetherWhole(picture, now)
 }
 
--- a/internal/balancer/room.go
+++ b/internal/balancer/room.go
@@ -7,6 +7,8 @@
 
 	"github.com/indigobarrow/indigobarrow/internal/demand"
 	"github.com/indigobarrow/indigobarrow/internal/directory"
+	"github.com/indigobarrow/indigobarrow/internal/observe"
+	"github.com/indigobarrow/indigobarrow/internal/tokenroute"
 )
 
 // roomPause spaces the looks for back ends that have turned warm.
@@ -24,6 +26,19 @@
 	// never.
 	cold   []coldSlots
 	lookAt time.Time
+	// dead are the back ends that were judged dead of late.
+	dead map[uint64]deadBackend
+}
+
+// deadFor is for how long a back end that was judged dead is no room, unless it is judged
+// so again. Verdicts last for 2 s after the last witness, and one that gets no new flows has
+// a witness less often. Without more than a verdict, plans would turn with each.
+const deadFor = 5 * time.Second
+
+// deadBackend is a back end that is no room until a time, though the directory has it.
+type deadBackend struct {
+	place demand.Place
+	until time.Time
 }
 
 // coldSlots is what a back end adds to its place from a time on.
@@ -43,7 +58,7 @@
 // balancers may use a cold one is of no matter here: with a rank among 12,000 balancers for
 // each of 1,400 cold ones, a count of 140,000 took 484 ms of processor in place of 226.
 func (c *control) measureRoom(evacuated map[string]uint64, now time.Time) {
-	made := room{slots: make(map[demand.Place]float64), backends: make(map[demand.Place]int), zones: make(map[string]*poolZones)}
+	made := room{dead: c.demand.room.dead, slots: make(map[demand.Place]float64), backends: make(map[demand.Place]int), zones: make(map[string]*poolZones)}
 	warming := c.newWarming(now)
 	own := c.balancer.settings.Load().GetZone()
 	for _, backend := range c.known.Backends() {
@@ -116,3 +131,42 @@
 		r.lookAt = soonest
 	}
 }
+
+// takeDead takes which back ends are judged dead. Those that the table has no longer are none
+// of the room anyway.
+func (r *room) takeDead(summary *observe.Summary, table *tokenroute.Table, now time.Time) {
+	for number, each := range r.dead {
+		if !now.Before(each.until) {
+			delete(r.dead, number)
+		}
+	}
+	if table == nil || now.Sub(summary.At) > observedFor {
+		return
+	}
+	for _, number := range summary.Dead {
+		backend := table.Backend(number)
+		if backend == nil || backend.Gone {
+			continue
+		}
+		if r.dead == nil {
+			r.dead = make(map[uint64]deadBackend)
+		}
+		place := demand.Place{Pool: demand.Pool(backend.Pool), Zone: demand.Zone(backend.Zone)}
+		r.dead[number] = deadBackend{place: place, until: now.Add(deadFor)}
+	}
+}
+
+// living are the slots without those of dead back ends, each of which had as many as the
+// others of its place.
+func (r *room) living(now time.Time) map[demand.Place]float64 {
+	if len(r.dead) == 0 {
+		return r.slots
+	}
+	slots := maps.Clone(r.slots)
+	for _, each := range r.dead {
+		if backends := r.backends[each.place]; backends > 0 && now.Before(each.until) {
+			slots[each.place] = math.Max(0, slots[each.place]-r.slots[each.place]/float64(backends))
+		}
+	}
+	return slots
+}
--- a/internal/balancer/room_test.go
+++ b/internal/balancer/room_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/observe"
 )
 
 // sized is a balancer that knows so many back ends and balancers in 10 zones; the first of
@@ -60,6 +61,25 @@
 	require.Less(t, testing.AllocsPerRun(1, func() { control.demand.room.look(now.Add(time.Hour)) }), 100.0)
 }
 
+// A zone whose back ends have died is no room while the directory still has them: the others
+// would send it what they have no room for.
+func TestDeadBackendsAreNoRoom(t *testing.T) {
+	now := time.Now()
+	control := served(now, map[string]int{"maadi": 4, "giza": 4})
+	control.balancer.traffic = &traffic{}
+	judged := func(dead ...uint64) float64 {
+		control.balancer.traffic.observed.Store(&observe.Summary{At: now, Dead: dead})
+		control.takeDemand(now)
+		return control.balancer.Picture().Room[lendingIn("giza")]
+	}
+	require.Equal(t, 8.0, judged())
+	require.Equal(t, 4.0, judged(1, 2, 99), "giza has the numbers up to 4, and nobody 99")
+	control.renewTable(now)
+	require.Equal(t, 4.0, judged(), "verdicts end before entries do")
+	now = now.Add(deadFor)
+	require.Equal(t, 8.0, judged())
+}
+
 func BenchmarkRoom(b *testing.B) {
 	now := time.Now()
 	for _, cold := range []int{0, 1400} {
--- a/internal/observe/summary.go
+++ b/internal/observe/summary.go
@@ -14,6 +14,9 @@
 	Waiting map[string]float64
 	// Places are what this balancer's flows asked since the last summary.
 	Places map[demand.Place]demand.Load
+	// Dead are the numbers of back ends that are judged dead, whether the directory has
+	// them or not.
+	Dead []uint64
 	// Findings are what the answers of back ends tell beyond chance, by their
 	// numbers.
 	Findings map[uint64]Finding
--- a/internal/tokenroute/judgement.go
+++ b/internal/tokenroute/judgement.go
@@ -32,6 +32,17 @@
 
 func (w witness) told() bool { return !w.heardAt.IsZero() }
 
+// dead are the numbers of the back ends that are judged dead.
+func (l *Liveness) dead(now time.Time) []uint64 {
+	var found []uint64
+	for number, judged := range l.judged {
+		if now.Before(judged.deadUntil) {
+			found = append(found, number)
+		}
+	}
+	return found
+}
+
 // DeathVerdict says why it was judged dead, for the log.
 type DeathVerdict struct {
 	Backend *Backend
--- a/internal/tokenroute/summary.go
+++ b/internal/tokenroute/summary.go
@@ -33,6 +33,7 @@
 		At:      now,
 		Waiting: make(map[string]float64, len(f.pools)),
 		Places:  f.summarizePlaces(elapsed, now),
+		Dead:    f.liveness.dead(now),
 
 		Findings: make(map[uint64]observe.Finding),
 	}
