A balancer that follows one of its own level is counted there

It lent its part for as long as its own level needs, which is too short to be passed on by another of the same level: it was never counted. The one that is followed now tells how many levels are above it, and the follower lends for one more. Ruled out: that the receiver takes it for a shorter time, since its own sum would then end before the next one may pass it on; and a bound at the lowest level, where most balancers are. Without the level told, the new test finds the moved balancer in no sum.

--- a/internal/balancer/demand.go
+++ b/internal/balancer/demand.go
@@ -101,6 +101,7 @@
 	}
 	left := c.balancer.started.Add(time.Duration(news.GetLeftAfterNanoseconds()))
 	c.demand.tree.TakeParent(decodePicture(news.GetDemand(), left), now)
+	c.demand.tree.TakeLevel(int(news.GetDemand().GetAbove()), now)
 }
 
 // reportTo returns the report for the balancer that is followed, or nil while it must not
--- a/internal/balancer/telldemand.go
+++ b/internal/balancer/telldemand.go
@@ -59,6 +59,7 @@
 		AgeMilliseconds: uint32(max(0, t.seen.Age(now)).Milliseconds()),
 		Zones:           t.whole.GetZones(),
 		Places:          t.whole.GetPlaces(),
+		Above:           uint32(c.demand.tree.Above(now)),
 	}
 }
 
--- a/internal/demand/tree.go
+++ b/internal/demand/tree.go
@@ -55,6 +55,10 @@
 	followers map[Address]Report
 	parent    Picture
 	levels    Levels
+	// parentAbove is how many levels the balancer that is followed said are above it, and
+	// belowAt when.
+	parentAbove int
+	belowAt     time.Time
 	// lender is whom the own part was told last, and lentUntil when it ends there.
 	lender    Address
 	lentUntil time.Time
@@ -94,14 +98,28 @@
 	t.parent = all
 }
 
+// TakeLevel takes how many levels the balancer that is followed says are above it. Who follows
+// one of its own level, since its parent is silent or it knows other members, lends for as
+// long as one more level needs: else its part would never count there.
+func (t *Tree) TakeLevel(above int, now time.Time) { t.parentAbove, t.belowAt = above, now }
+
+// Above is how many levels are above this balancer. It is one more than all are below the
+// reader at most, which also bounds what an earlier run may have lent.
+func (t *Tree) Above(now time.Time) int {
+	if t.belowAt.IsZero() || now.Sub(t.belowAt) > FreshFor {
+		return t.levels.Above
+	}
+	return min(max(t.levels.Above, t.parentAbove+1), t.levels.All+1)
+}
+
 // Hand lends the parts of this balancer and of its followers to another one, unless they
 // still count elsewhere.
 func (t *Tree) Hand(to Address, now time.Time) (Report, bool) {
 	elsewhere := to != t.lender && now.Before(t.lentUntil)
-	if elsewhere || now.Before(t.startedAt.Add(Lease(t.levels.All))) {
+	if elsewhere || now.Before(t.startedAt.Add(Lease(t.levels.All+1))) {
 		return Report{}, false
 	}
-	report := Report{Picture: t.own, Until: now.Add(Lease(t.levels.Above))}
+	report := Report{Picture: t.own, Until: now.Add(Lease(t.Above(now)))}
 	for _, each := range t.followers {
 		if !t.renewed(each, now) {
 			continue
@@ -120,7 +138,7 @@
 // lives has lost at most a Step at each level. Others would outlast their end in the sum,
 // and make it old.
 func (t *Tree) renewed(report Report, now time.Time) bool {
-	return report.Until.Sub(now) >= Lease(t.levels.Above)
+	return report.Until.Sub(now) >= Lease(t.Above(now))
 }
 
 // here is what this balancer and those that follow it see.
