--- a/internal/balancer/weigh.go
+++ b/internal/balancer/weigh.go
@@ -59,7 +59,7 @@
 	c.observed.startTable(made.zones)
 	c.observed.divided = make(map[string]bool, len(made.zones))
 	for pool := range made.zones {
-		c.observed.divided[pool] = made.byZone(pool)
+		c.observed.divided[pool] = made.byParts(pool)
 	}
 	return made
 }
