--- a/internal/demand/tree_test.go
+++ b/internal/demand/tree_test.go
@@ -168,7 +168,7 @@
 }
 
 // fleet are balancers that hand their parts to others before them in an order, whoever
-// they take for their parent just then. Messages are late, lost and doubled; balancers
+// they take for their parent just then, and are told any level. Messages are late, lost and doubled; balancers
 // restart and vanish.
 type fleet struct {
 	now   time.Time
@@ -225,6 +225,9 @@
 	if f.nodes[from].down || f.nodes[to].down {
 		return
 	}
+	if rapid.Bool().Draw(t, "told") {
+		f.nodes[from].tree.TakeLevel(rapid.IntRange(0, levelsLimit+1).Draw(t, "above"), f.now)
+	}
 	report, may := f.nodes[from].tree.Hand(Address(name(to)), f.now)
 	if !may {
 		return
