--- a/internal/demand/tree_test.go
+++ b/internal/demand/tree_test.go
@@ -168,8 +168,8 @@
 }
 
 // fleet are balancers that hand their parts to others before them in an order, whoever
-// they take for their parent just then, and are told any level. Messages are late, lost and doubled; balancers
-// restart and vanish.
+// they take for their parent just then, and are told any level. Messages are late, lost and
+// doubled; balancers restart and vanish.
 type fleet struct {
 	now   time.Time
 	nodes []*fleetNode
--- a/internal/tokenroute/asked.go
+++ b/internal/tokenroute/asked.go
@@ -17,8 +17,8 @@
 	lostLongest = 3 * time.Second
 	// repeatFirst is when clients repeat a request first, and each pause after that is as
 	// long as they have waited, and repeatFirst more: 200, 600, 1400, 3000 ms. So a client
-	// that still waits shows it by then, and repeatLate later on a busy machine: the stalls
-	// of balancers with 0.06 cores are of that length. No request is lost before.
+	// that still waits shows it by then, and repeatLate later on a busy machine: with both,
+	// a request that is never repeated counts for 0.5 s at least. No request is lost before.
 	repeatFirst = 200 * time.Millisecond
 	repeatLate  = 300 * time.Millisecond
 	// wayWindow is for how long the least way counts at least; ways change with routes.
