--- a/internal/balancer/telldemand.go
+++ b/internal/balancer/telldemand.go
@@ -11,10 +11,10 @@
 const (
 	// tellPause is the mean time between two tellings of the picture to one follower, whose
 	// calls are answered one to three times a second; each telling is some 50 bytes a place.
-	// One may be earlyLimit early: with calls answered each 0.92 s, one in two would else be
+	// One may be tellEarly early: with calls answered each 0.92 s, one in two would else be
 	// told nothing, and pictures be a second older at each level.
-	tellPause  = time.Second
-	earlyLimit = 250 * time.Millisecond
+	tellPause = time.Second
+	tellEarly = 250 * time.Millisecond
 	// soonPause is the same while the pressure of a place has moved by more than
 	// pressureStep since, in requests for each slot: a quarter of the room crosses zones
 	// then that did not, or no longer.
@@ -44,7 +44,7 @@
 // next is what follows a telling at a time, or none if it must wait.
 func (t telling) next(pressures map[demand.Place]float64, now time.Time) (telling, bool) {
 	made := telling{at: now, dueAt: now.Add(tellPause), pressures: pressures}
-	if now.Before(t.dueAt.Add(-earlyLimit)) {
+	if now.Before(t.dueAt.Add(-tellEarly)) {
 		return made, now.Sub(t.at) >= soonPause && moved(t.pressures, pressures)
 	}
 	if now.Before(t.dueAt) {
