Requests that were repeated are no demand: back ends that live acknowledge while they queue

Requests to dead back ends counted as waiting until they were taken for lost, so a third of the back ends dark would read as want of room among the others. Cause by a trace of all packets of a burst (trial): of 14,500 requests that waited up to 0.6 s in full queues five were repeated; who lives acknowledges at once. A repeated request stays in use for the choice of a back end. TestRequestsToDeadBackendsAreNoDemand was red.

--- a/internal/tokenroute/asked.go
+++ b/internal/tokenroute/asked.go
@@ -101,7 +101,7 @@
 	} else {
 		place.home.asks++
 	}
-	s.asked, s.lost, s.waitsSince = true, false, now
+	s.asked, s.lost, s.unreached, s.waitsSince = true, false, false, now
 	place.begin(s)
 }
 
@@ -123,6 +123,32 @@
 	s.load.place.begin(s)
 }
 
+// unreach takes that a request was repeated, so that it has reached nobody: who lives
+// acknowledges a request while it waits in the queue there, and of 14,500 that waited up to
+// 0.6 s for full back ends five were repeated. It is no demand on room that is not there; the
+// requests to dead back ends would else make a pool look short of it. In the choice of a back
+// end it counts on.
+func (s *flowState) unreach(now time.Time) {
+	s.unreached = true
+	if s.load != nil {
+		s.setUsing(false, now)
+	}
+}
+
+// setUsing counts whether the flow is a demand on its pool and place.
+func (s *flowState) setUsing(using bool, now time.Time) {
+	if s.using == using {
+		return
+	}
+	s.using = using
+	change := 1
+	if !using {
+		change = -1
+	}
+	s.load.pool.use.Add(change, now)
+	s.load.place.use.Add(change, now)
+}
+
 // least is the least of some samples in wayWindow to twice as long, in seconds; 0 is none.
 type least struct {
 	current, previous float64
--- a/internal/tokenroute/liveness.go
+++ b/internal/tokenroute/liveness.go
@@ -171,6 +171,9 @@
 		known.backend, known.passedAt = backend, now
 		state.waitsStill(now)
 		l.repeat(known, packet, now)
+		if known.repeats > 0 {
+			state.unreach(now)
+		}
 	default:
 		known.passedAt = now
 	}
--- a/internal/tokenroute/memory.go
+++ b/internal/tokenroute/memory.go
@@ -32,6 +32,9 @@
 	// latest one did.
 	asked      bool
 	waitsSince time.Time
+	// using is set while the flow counts as a demand on its pool and place, and unreached
+	// once the latest request was repeated.
+	using, unreached bool
 	// lost is set while the latest request was taken for lost and has not been answered.
 	lost bool
 }
@@ -94,13 +97,12 @@
 // wait counts that the flow begins or ends to wait.
 func (s *flowState) wait(waits bool, now time.Time) {
 	s.waits = waits
-	change := 1
-	if !waits {
-		change = -1
+	if waits {
+		s.load.waiting++
+	} else {
+		s.load.waiting--
 	}
-	s.load.waiting += change
-	s.load.pool.use.Add(change, now)
-	s.load.place.use.Add(change, now)
+	s.setUsing(waits && !s.unreached, now)
 }
 
 // release takes a flow off the load where it counts.
