--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -29,6 +29,8 @@
 	LeastUsed Name = "least_used"
 	// AvoidSilent avoids back ends that did not answer a first packet.
 	AvoidSilent Name = "avoid_silent"
+	// SilentZones avoids zones of which several back ends in a row did not answer.
+	SilentZones Name = "silent_zones"
 	// Verdicts judges back ends dead by repeated requests.
 	Verdicts Name = "verdicts"
 	// IdleResets resets flows that wait for nothing with the verdict.
@@ -59,6 +61,7 @@
 	SpreadAfterStart,
 	LeastUsed,
 	AvoidSilent,
+	SilentZones,
 	Verdicts,
 	IdleResets,
 	JoinedEvidence,
--- a/internal/tokenroute/flows.go
+++ b/internal/tokenroute/flows.go
@@ -72,6 +72,7 @@
 	// places are what is asked of each pool in each zone.
 	places map[demand.Place]*placeAsked
 	silent map[uint64]*silence
+	zones  *zones
 	loads  map[uint64]*load
 	pools  map[string]*poolUse
 	// summarizedAt is when the last summary was made, judgedAt when answers were
@@ -96,14 +97,15 @@
 
 // NewFlows makes an empty memory, for decisions without the given mechanisms.
 func NewFlows(off mechanism.Set) *Flows {
-	memory := newMemory()
+	memory, zones := newMemory(), newZones(off)
 	return &Flows{
 		off:      off,
 		memory:   memory,
 		silent:   make(map[uint64]*silence),
+		zones:    zones,
 		loads:    make(map[uint64]*load),
 		pools:    make(map[string]*poolUse),
-		liveness: newLiveness(memory, off),
+		liveness: newLiveness(memory, zones, off),
 	}
 }
 
@@ -123,6 +125,16 @@
 	return taken
 }
 
+// Silenced is how often a zone was found silent.
+func (f *Flows) Silenced() uint64 { return f.zones.silenced.Load() }
+
+// TakeSilentZones returns the zones that were found silent since the last call.
+func (f *Flows) TakeSilentZones() []SilentZone {
+	taken := f.zones.verdict
+	f.zones.verdict = nil
+	return taken
+}
+
 // TakeAbandoned returns the flows whose back end was judged dead since the last
 // call, to be reset.
 func (f *Flows) TakeAbandoned() []Abandoned {
@@ -171,6 +183,9 @@
 	if silent != nil && now.Before(silent.avoidUntil) && !f.off.Has(mechanism.AvoidSilent) {
 		return Avoided
 	}
+	if f.zones.avoids(backend.Zone, now) {
+		return Avoided
+	}
 	return warmth
 }
 
@@ -218,6 +233,7 @@
 		// It is tried by one flow, not by all that find it the least used.
 		silent.avoidUntil = now.Add(AnswerTime)
 	}
+	f.zones.tried(chosen.Zone, now)
 	state.attach(f.loadOf(chosen), now)
 	if len(f.queue) < generationLimit {
 		f.queue = append(f.queue, waiting{opening: known, backend: chosen, sentAt: now})
@@ -240,6 +256,9 @@
 		known.opened = named
 		f.countOpened(now.Sub(known.sentAt))
 		delete(f.silent, named.Number)
+		if known.last().Number == named.Number {
+			f.zones.answered(named, known.sentAt)
+		}
 	}
 	if known.opened == nil || known.opened.Number == named.Number {
 		return named
@@ -271,6 +290,7 @@
 		return
 	}
 	f.Missed.Add(1)
+	f.zones.missed(due.backend, due.sentAt, now)
 	state := f.silent[due.backend.Number]
 	if state == nil {
 		state = &silence{}
--- a/internal/tokenroute/liveness.go
+++ b/internal/tokenroute/liveness.go
@@ -108,6 +108,7 @@
 	// zone is that of this balancer.
 	zone      string
 	memory    *memory
+	zones     *zones
 	judged    map[uint64]*judgement
 	abandoned []Abandoned
 	verdicts  []DeathVerdict
@@ -121,8 +122,8 @@
 
 // newLiveness makes a judge of the back ends of the flows in a memory, against
 // whom nothing speaks yet.
-func newLiveness(memory *memory, off mechanism.Set) *Liveness {
-	return &Liveness{off: off, memory: memory, judged: make(map[uint64]*judgement)}
+func newLiveness(memory *memory, zones *zones, off mechanism.Set) *Liveness {
+	return &Liveness{off: off, memory: memory, zones: zones, judged: make(map[uint64]*judgement)}
 }
 
 // Observe takes a later packet of a flow that goes to a back end, and tells
@@ -196,6 +197,7 @@
 	}
 	known.repeats++
 	known.repeatedAt = now
+	l.zones.missed(known.backend, known.sentAt, now)
 	if judged := l.judgementOf(known.backend); judged != nil {
 		judged.troubledAt = now
 	}
@@ -213,6 +215,9 @@
 		known.timed = true
 		state.load.answersTo(key.Address()).Time(now.Sub(known.sentAt))
 	}
+	if known.repeats == 0 {
+		l.zones.answered(backend, known.sentAt)
+	}
 	if judged != nil && known.repeats == 0 && known.sentAt.After(judged.promptAt) {
 		judged.promptAt = known.sentAt
 	}
--- /dev/null
+++ b/internal/tokenroute/zones.go
@@ -0,0 +1,139 @@
+package tokenroute
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/indigobarrow/indigobarrow/internal/mechanism"
+)
+
+const (
+	// zoneMisses is how many back ends of a zone must have left something unanswered,
+	// with nothing sent since answered by any of the zone, for the zone to count as
+	// silent.
+	zoneMisses = 3
+	// zoneAvoid is for how long new flows avoid a silent zone until one tries it again.
+	zoneAvoid = time.Second
+	// zoneMissTime is how long something unanswered speaks against its zone.
+	zoneMissTime = 4 * time.Second
+)
+
+// zones tells zones out of reach from here by what their back ends leave unanswered:
+// first packets, and requests that are repeated. It decides only where new flows go,
+// which harms nobody: a zone behind a cut and a zone that died look the same from here,
+// and a balancer whose own link is full finds all zones silent, which changes nothing.
+// Each back end for itself is avoided after one flow was lost to it (Flows), and a cut
+// zone has a hundred of them.
+type zones struct {
+	off     mechanism.Set
+	known   map[string]*zoneSilence
+	verdict []SilentZone
+	// silenced counts how often a zone was found silent.
+	silenced atomic.Uint64
+}
+
+// zoneSilence is what a zone left unanswered.
+type zoneSilence struct {
+	// answeredAt is when the latest packet was sent that a back end of the zone
+	// answered without a repetition.
+	answeredAt time.Time
+	// misses are different back ends, the earliest first, each with the latest packet
+	// that it left unanswered.
+	misses     []zoneMiss
+	avoidUntil time.Time
+}
+
+type zoneMiss struct {
+	backend uint64
+	sentAt  time.Time
+}
+
+// SilentZone is a zone that new flows avoid from now on, for the log.
+type SilentZone struct {
+	Zone string
+	// Since is when the first packet was sent that was left unanswered.
+	Since time.Time
+}
+
+func newZones(off mechanism.Set) *zones {
+	return &zones{off: off, known: make(map[string]*zoneSilence)}
+}
+
+func (z *zones) of(zone string) *zoneSilence {
+	known := z.known[zone]
+	if known == nil {
+		known = &zoneSilence{}
+		z.known[zone] = known
+	}
+	return known
+}
+
+// answered takes that a back end answered at once what was sent at a time.
+func (z *zones) answered(backend *Backend, sentAt time.Time) {
+	known := z.of(backend.Zone)
+	if !sentAt.After(known.answeredAt) {
+		return
+	}
+	known.answeredAt = sentAt
+	known.forget(sentAt)
+}
+
+// missed takes that a back end left unanswered what was sent at a time.
+func (z *zones) missed(backend *Backend, sentAt, now time.Time) {
+	known := z.of(backend.Zone)
+	if !sentAt.After(known.answeredAt) {
+		return
+	}
+	silent := known.silent()
+	known.forget(now.Add(-zoneMissTime))
+	known.add(zoneMiss{backend: backend.Number, sentAt: sentAt})
+	if !known.silent() || now.Before(known.avoidUntil) {
+		return
+	}
+	known.avoidUntil = now.Add(zoneAvoid)
+	if !silent {
+		z.silenced.Add(1)
+		z.verdict = append(z.verdict, SilentZone{Zone: backend.Zone, Since: known.misses[0].sentAt})
+	}
+}
+
+// avoids tells whether new flows avoid a zone.
+func (z *zones) avoids(zone string, now time.Time) bool {
+	known := z.known[zone]
+	return known != nil && known.silent() && now.Before(known.avoidUntil) && !z.off.Has(mechanism.SilentZones)
+}
+
+// tried takes that a new flow goes to a zone: where it was silent, the flow tries it
+// for the others.
+func (z *zones) tried(zone string, now time.Time) {
+	if known := z.known[zone]; known != nil && known.silent() && !now.Before(known.avoidUntil) {
+		known.avoidUntil = now.Add(AnswerTime)
+	}
+}
+
+func (s *zoneSilence) silent() bool { return len(s.misses) >= zoneMisses }
+
+// add notes a miss; of a back end only the latest one counts.
+func (s *zoneSilence) add(miss zoneMiss) {
+	kept := s.misses[:0]
+	for _, each := range s.misses {
+		if each.backend != miss.backend {
+			kept = append(kept, each)
+		}
+	}
+	s.misses = append(kept, miss)
+	if extra := len(s.misses) - zoneMisses; extra > 0 {
+		s.misses = s.misses[:copy(s.misses, s.misses[extra:])]
+	}
+}
+
+// forget drops the misses of what was sent up to a time.
+func (s *zoneSilence) forget(until time.Time) {
+	kept := s.misses[:0]
+	for _, each := range s.misses {
+		if each.sentAt.After(until) {
+			kept = append(kept, each)
+		}
+	}
+	s.misses = kept
+}
--- /dev/null
+++ b/internal/tokenroute/zones_test.go
@@ -0,0 +1,118 @@
+package tokenroute
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/mechanism"
+)
+
+// twoLargeZones has back ends 1 to 20 in maadi and 101 to 120 in giza.
+func twoLargeZones() *Table {
+	changes := []*apiv1.DirectoryChange{routes(1, route(1, share("lending", 1)))}
+	for number := range uint64(20) {
+		changes = append(changes, inZone(backend(2, number+1, "lending"), "maadi"), inZone(backend(2, number+101, "lending"), "giza"))
+	}
+	return NewTable(known(changes...), options())
+}
+
+// opener opens flows from new ports, one each 10 ms, whose back ends answer if they do.
+type opener struct {
+	flows   *Flows
+	table   *Table
+	answers func(*Backend) bool
+	port    uint16
+	now     int
+	// lost counts first packets to back ends that did not answer, by zone.
+	lost map[string]int
+}
+
+func newOpener(off mechanism.Set, answers func(*Backend) bool) *opener {
+	return &opener{flows: NewFlows(off).InZone("maadi"), table: twoLargeZones(), answers: answers, lost: make(map[string]int)}
+}
+
+func (o *opener) open(count int) {
+	for range count {
+		o.now += 10
+		o.port++
+		packet := first(1)
+		packet.Key.SourcePort = o.port
+		chosen := o.flows.Decide(o.table, packet, at(o.now)).Backend
+		if !o.answers(chosen) {
+			o.lost[chosen.Zone]++
+			continue
+		}
+		packet.First, packet.Token, packet.Acknowledged, packet.Length = false, Token(chosen.Number), 1, 1
+		o.flows.Decide(o.table, packet, at(o.now+1))
+		packet.Acknowledged, packet.Length = 300, 0
+		o.flows.Decide(o.table, packet, at(o.now+2))
+	}
+}
+
+func inMaadi(b *Backend) bool { return b.Zone == "maadi" }
+
+// A zone cut off has many back ends; each for itself would lose a flow before it is
+// avoided.
+func TestSilentZoneIsAvoided(t *testing.T) {
+	off, err := mechanism.Parse([]string{string(mechanism.SilentZones)})
+	require.NoError(t, err)
+	alone, together := newOpener(off, inMaadi), newOpener(mechanism.Set{}, inMaadi)
+	alone.open(90)
+	together.open(90)
+	require.Greater(t, alone.lost["giza"], 19, "each back end for itself")
+	require.LessOrEqual(t, together.lost["giza"], 15, "those of 150 ms, until the first was due")
+	require.EqualValues(t, 1, together.flows.Silenced())
+	silent := together.flows.TakeSilentZones()
+	require.Len(t, silent, 1)
+	require.Equal(t, "giza", silent[0].Zone)
+}
+
+// One flow a while tries a silent zone, and its answer opens it for all.
+func TestSilentZoneIsTriedAndReturns(t *testing.T) {
+	back := false
+	fleet := newOpener(mechanism.Set{}, func(b *Backend) bool { return back || inMaadi(b) })
+	fleet.open(90)
+	before := fleet.lost["giza"]
+	fleet.open(400)
+	require.LessOrEqual(t, fleet.lost["giza"]-before, 5, "one a second")
+	require.Greater(t, fleet.lost["giza"], before, "it is tried")
+	back = true
+	fleet.open(150)
+	fleet.answers = func(*Backend) bool { return true }
+	require.False(t, fleet.flows.zones.avoids("giza", at(fleet.now)))
+}
+
+// A balancer whose own link is full, or an outage of everything, finds all zones
+// silent: new flows go where they went.
+func TestSilenceOfAllZonesRefusesNothing(t *testing.T) {
+	fleet := newOpener(mechanism.Set{}, func(*Backend) bool { return false })
+	fleet.open(300)
+	require.Greater(t, fleet.lost["maadi"], 50)
+	require.Greater(t, fleet.lost["giza"], 50)
+}
+
+// Back ends of a zone that answers otherwise are full or dead, each for itself.
+func TestZoneOfWhichSomeAnswerIsNotSilent(t *testing.T) {
+	fleet := newOpener(mechanism.Set{}, func(b *Backend) bool { return inMaadi(b) || b.Number%2 == 0 })
+	fleet.open(500)
+	require.Zero(t, fleet.flows.Silenced())
+}
+
+func TestMissesOfAZoneGrowOld(t *testing.T) {
+	zones := newZones(mechanism.Set{})
+	miss := func(number uint64, now time.Time) {
+		zones.missed(&Backend{Number: number, Zone: "giza"}, now, now)
+	}
+	for number := range uint64(6) {
+		miss(number, at(int(number)*int(zoneMissTime/time.Millisecond)/2))
+	}
+	require.Zero(t, zones.silenced.Load(), "two within the time")
+	miss(9, at(5*int(zoneMissTime/time.Millisecond)/2+1))
+	miss(9, at(5*int(zoneMissTime/time.Millisecond)/2+2))
+	require.EqualValues(t, 1, zones.silenced.Load())
+	zones.answered(&Backend{Number: 9, Zone: "giza"}, at(1))
+	require.True(t, zones.of("giza").silent(), "what was sent before says nothing")
+}
