A zone of which eight back ends leave requests unanswered is judged as a whole

Cause: where a zone dies or is cut off, each of its back ends was judged for itself, each by two clients' lost requests. A balancer that lost a whole zone, a third of all back ends, trusted no link of its own and judged none.

Now promptRatio is looked at among the other zones too. Eight back ends of a zone with an unanswered request each, sent later than any of the zone is known to have lived, and 0.3 s without an answer: all flows to the zone are reset. Who sees the zone live says so.

--- a/internal/tokenroute/joined.go
+++ b/internal/tokenroute/joined.go
@@ -40,6 +40,7 @@
 	case evidence.Witness:
 		f.liveness.hear(heard, backend, now)
 	case evidence.SignOfLife:
+		f.liveness.proveZone(backend, heard.At, true)
 		f.liveness.prove(backend, heard.At)
 	}
 }
@@ -54,10 +55,16 @@
 
 // Settle judges by the joined witnesses that nobody answered in time, and returns when
 // the next ones will have waited long enough; the zero time is never.
-func (f *Flows) Settle(now time.Time) time.Time { return f.liveness.settle(now) }
+func (f *Flows) Settle(now time.Time) time.Time {
+	next, ofZones := f.liveness.settle(now), f.liveness.settleZones(now)
+	if next.IsZero() || !ofZones.IsZero() && ofZones.Before(next) {
+		return ofZones
+	}
+	return next
+}
 
 // Holds tells whether joined witnesses wait for an answer.
-func (f *Flows) Holds() bool { return len(f.liveness.held) > 0 }
+func (f *Flows) Holds() bool { return len(f.liveness.held) > 0 || f.liveness.holdsZones() }
 
 // hear takes a witness that another balancer tells of. It counts for those that reach
 // the back end by the way that the other one does: from the same zone, or where the
@@ -85,6 +92,7 @@
 	}
 	known.sentAt, known.prompt = heard.SentAt, true
 	judged.witnesses[client] = known
+	l.weighZone(backend.Zone, now)
 	l.weigh(judged, backend, now)
 }
 
--- a/internal/tokenroute/joined_fleet_test.go
+++ b/internal/tokenroute/joined_fleet_test.go
@@ -66,10 +66,15 @@
 )
 
 func newJudges(balancers, backends, dead int, off mechanism.Set) *judges {
+	return newJudgesOf(balancers, backends, dead, off, func(int) string { return "" })
+}
+
+// newJudgesOf makes judges before back ends of several zones.
+func newJudgesOf(balancers, backends, dead int, off mechanism.Set, zone func(number int) string) *judges {
 	changes := []*apiv1.DirectoryChange{routes(1, route(1, share("lending", 1)))}
 	changes[0].GetRoutes().IdleMilliseconds = 15_000
 	for number := range backends {
-		changes = append(changes, backend(2, uint64(number+1), "lending"))
+		changes = append(changes, inZone(backend(2, uint64(number+1), "lending"), zone(number)))
 	}
 	made := &judges{chance: rand.New(rand.NewPCG(uint64(balancers), 7)), dead: dead, deadSince: 4000,
 		table: NewTable(known(changes...), options()), knownAt: make(map[[2]int]int)}
--- a/internal/tokenroute/judgement.go
+++ b/internal/tokenroute/judgement.go
@@ -6,6 +6,8 @@
 
 // judgement is what speaks for and against a back end.
 type judgement struct {
+	// zone is that of the back end.
+	zone string
 	// provenAt is the latest time at which the back end is known to have sent
 	// something.
 	provenAt time.Time
@@ -90,3 +92,24 @@
 	}
 	return latest
 }
+
+// forget drops the judgements that have nothing left to say.
+func (l *Liveness) forget(now time.Time) {
+	for number, judged := range l.judged {
+		l.forgetWitnesses(judged, now)
+		if len(judged.witnesses) == 0 && now.Sub(judged.latest()) > generationTime {
+			delete(l.judged, number)
+		}
+	}
+}
+
+// witnessTime is how long an unanswered request speaks against a back end.
+const witnessTime = time.Minute
+
+func (l *Liveness) forgetWitnesses(judged *judgement, now time.Time) {
+	for client, each := range judged.witnesses {
+		if now.Sub(each.sentAt) > witnessTime || each.told() && now.Sub(each.heardAt) > toldTime {
+			delete(judged.witnesses, client)
+		}
+	}
+}
--- a/internal/tokenroute/liveness.go
+++ b/internal/tokenroute/liveness.go
@@ -114,16 +114,25 @@
 	verdicts  []DeathVerdict
 	// statements are what other balancers have yet to be told.
 	statements []evidence.Statement
+	// zoneVerdicts are those on zones, also those that wait for an answer.
+	zoneVerdicts map[string]*zoneVerdict
+	zoneLives    map[string]*zoneLife
+	deadZones    []DeadZone
+	// table is the latest one.
+	table *Table
 	// held are the back ends whose joined witnesses wait for an answer.
 	held []held
 	// Verdicts counts the verdicts that back ends are dead.
 	Verdicts atomic.Uint64
+	// ZoneVerdicts counts those on zones as a whole.
+	ZoneVerdicts atomic.Uint64
 }
 
 // newLiveness makes a judge of the back ends of the flows in a memory, against
 // whom nothing speaks yet.
 func newLiveness(memory *memory, zones *zones, off mechanism.Set) *Liveness {
-	return &Liveness{off: off, memory: memory, zones: zones, judged: make(map[uint64]*judgement)}
+	return &Liveness{off: off, memory: memory, zones: zones, judged: make(map[uint64]*judgement),
+		zoneVerdicts: make(map[string]*zoneVerdict), zoneLives: make(map[string]*zoneLife)}
 }
 
 // Observe takes a later packet of a flow that goes to a back end, and tells
@@ -217,6 +226,7 @@
 	}
 	if known.repeats == 0 {
 		l.zones.answered(backend, known.sentAt)
+		l.proveZone(backend, known.sentAt, false)
 	}
 	if judged != nil && known.repeats == 0 && known.sentAt.After(judged.promptAt) {
 		judged.promptAt = known.sentAt
@@ -228,7 +238,7 @@
 func (l *Liveness) judgementOf(backend *Backend) *judgement {
 	judged := l.judged[backend.Number]
 	if judged == nil && len(l.judged) < judgedLimit {
-		judged = &judgement{witnesses: make(map[clientAddress]witness)}
+		judged = &judgement{zone: backend.Zone, witnesses: make(map[clientAddress]witness)}
 		l.judged[backend.Number] = judged
 	}
 	return judged
@@ -242,11 +252,15 @@
 		return
 	}
 	prompt := l.othersPrompt(judged, known.sentAt)
+	if !prompt && !l.off.Has(mechanism.ZoneVerdicts) {
+		prompt = l.promptOutside(backend.Zone, known.sentAt)
+	}
 	judged.witnesses[client] = witness{sentAt: known.sentAt, prompt: prompt}
 	if !prompt || l.off.Has(mechanism.Verdicts) {
 		return
 	}
 	l.testify(backend, client, known.sentAt)
+	l.weighZone(backend.Zone, now)
 	if backend.Gone || known.repeats >= repeatsForProof || judged.own() >= witnessesNeeded {
 		l.condemn(judged, backend, now)
 		return
@@ -266,22 +280,6 @@
 	judged.deadUntil = now.Add(verdictTime)
 }
 
-// othersPrompt tells whether the other back ends have answered since a time,
-// so that it is not this balancer whose packets get lost.
-func (l *Liveness) othersPrompt(accused *judgement, since time.Time) bool {
-	prompt, troubled := 0, 0
-	for _, judged := range l.judged {
-		switch {
-		case judged == accused:
-		case judged.troubledAt.After(since):
-			troubled++
-		case judged.promptAt.After(since):
-			prompt++
-		}
-	}
-	return prompt > 0 && prompt >= promptRatio*troubled
-}
-
 // abandon puts the flows of a dead back end that are remembered on the list of
 // those to reset, and forgets them.
 func (l *Liveness) abandon(backend *Backend, now time.Time) {
@@ -303,6 +301,7 @@
 // prove takes that a back end lived at a time. Requests sent until then no
 // longer speak against it, and a verdict that rests on them ends.
 func (l *Liveness) prove(backend *Backend, livedAt time.Time) {
+	l.proveZone(backend, livedAt, false)
 	judged := l.judgementOf(backend)
 	if judged == nil {
 		return
@@ -329,30 +328,12 @@
 // Dead tells whether a back end counts as dead. The verdict on one whose entry
 // is gone stays until something proves the opposite.
 func (l *Liveness) Dead(backend *Backend, now time.Time) bool {
+	if l.deadZone(backend, now) {
+		return true
+	}
 	judged := l.judged[backend.Number]
 	if judged == nil || judged.deadUntil.IsZero() {
 		return false
 	}
 	return backend.Gone || now.Before(judged.deadUntil)
 }
-
-// forget drops the judgements that have nothing left to say.
-func (l *Liveness) forget(now time.Time) {
-	for number, judged := range l.judged {
-		l.forgetWitnesses(judged, now)
-		if len(judged.witnesses) == 0 && now.Sub(judged.latest()) > generationTime {
-			delete(l.judged, number)
-		}
-	}
-}
-
-// witnessTime is how long an unanswered request speaks against a back end.
-const witnessTime = time.Minute
-
-func (l *Liveness) forgetWitnesses(judged *judgement, now time.Time) {
-	for client, each := range judged.witnesses {
-		if now.Sub(each.sentAt) > witnessTime || each.told() && now.Sub(each.heardAt) > toldTime {
-			delete(judged.witnesses, client)
-		}
-	}
-}
