--- a/internal/tokenroute/zones.go
+++ b/internal/tokenroute/zones.go
@@ -25,8 +25,10 @@
 // Each back end for itself is avoided after one flow was lost to it (Flows), and a cut
 // zone has a hundred of them.
 type zones struct {
-	off     mechanism.Set
-	known   map[string]*zoneSilence
+	off   mechanism.Set
+	known map[string]*zoneSilence
+	// until is when the last zone is avoided. A new flow asks for each back end.
+	until   time.Time
 	verdict []SilentZone
 	// silenced counts how often a zone was found silent.
 	silenced atomic.Uint64
@@ -91,6 +93,7 @@
 		return
 	}
 	known.avoidUntil = now.Add(zoneAvoid)
+	z.until = latest(z.until, known.avoidUntil)
 	if !silent {
 		z.silenced.Add(1)
 		z.verdict = append(z.verdict, SilentZone{Zone: backend.Zone, Since: known.misses[0].sentAt})
@@ -99,6 +102,9 @@
 
 // avoids tells whether new flows avoid a zone.
 func (z *zones) avoids(zone string, now time.Time) bool {
+	if !now.Before(z.until) {
+		return false
+	}
 	known := z.known[zone]
 	return known != nil && known.silent() && now.Before(known.avoidUntil) && !z.off.Has(mechanism.SilentZones)
 }
@@ -108,6 +114,7 @@
 func (z *zones) tried(zone string, now time.Time) {
 	if known := z.known[zone]; known != nil && known.silent() && !now.Before(known.avoidUntil) {
 		known.avoidUntil = now.Add(AnswerTime)
+		z.until = latest(z.until, known.avoidUntil)
 	}
 }
 
