A verdict on a zone resets only flows of back ends that were silent themselves

Cause: eight back ends of a zone with a request unanswered reset all flows to the zone, those of back ends that nobody had asked anything too, which may live and be idle; services of a zone counted together; a link between two zones that was full or lossy was enough; and promptRatio looked at outside the accused zone let single verdicts hit living back ends behind such a link.

Now: flows are reset of those back ends only that have themselves left a request unanswered for 1.1 s (0.9 s is slow, 0.2 s for who sees that to tell it); new flows avoid the others of the zone and pool (Distrusted). Pools count each for itself. Three of the back ends must be seen silent by balancers of the accused zone or of each of two other zones. A verdict that ended unseen needs a new hold.

Tests replaced: TestZoneThatAnswersNothingIsJudgedAsAWhole asserted the reset of back ends 109 and 110, that nobody had asked: wrong by the rule; it now asserts that they are avoided, and reset only once they leave a request unanswered themselves.

--- a/internal/tokenroute/decide.go
+++ b/internal/tokenroute/decide.go
@@ -89,7 +89,6 @@
 	if !f.off.Has(mechanism.RestedFlows) {
 		f.memory.rest = table.Rest
 	}
-	f.liveness.table = table
 	route := table.Route(packet.Key.Address())
 	if packet.First {
 		return f.decideFirst(route, packet, now)
--- a/internal/tokenroute/flows.go
+++ b/internal/tokenroute/flows.go
@@ -193,7 +193,7 @@
 	if silent != nil && now.Before(silent.avoidUntil) && !f.off.Has(mechanism.AvoidSilent) {
 		return Avoided
 	}
-	if f.zones.avoids(backend.Zone, now) {
+	if dead, _ := f.liveness.zoneDead(backend, now); dead || f.zones.avoids(backend.Zone, now) {
 		return max(warmth, Distrusted)
 	}
 	return warmth
--- a/internal/tokenroute/joined.go
+++ b/internal/tokenroute/joined.go
@@ -71,6 +71,9 @@
 // other one stands in the zone of the back end. A zone that is cut off thus accuses
 // the others to itself only.
 func (l *Liveness) hear(heard evidence.Witness, backend *Backend, now time.Time) {
+	if now.Sub(heard.SentAt) <= toldTime {
+		l.accuseZone(backend, heard.Zone, heard.SentAt, now)
+	}
 	if heard.Zone != l.zone && heard.Zone != backend.Zone {
 		return
 	}
@@ -92,7 +95,6 @@
 	}
 	known.sentAt, known.prompt = heard.SentAt, true
 	judged.witnesses[client] = known
-	l.weighZone(backend.Zone, now)
 	l.weigh(judged, backend, now)
 }
 
--- a/internal/tokenroute/judgement.go
+++ b/internal/tokenroute/judgement.go
@@ -6,8 +6,8 @@
 
 // judgement is what speaks for and against a back end.
 type judgement struct {
-	// zone is that of the back end.
-	zone string
+	// backend is the one that is judged.
+	backend *Backend
 	// provenAt is the latest time at which the back end is known to have sent
 	// something.
 	provenAt time.Time
@@ -95,6 +95,7 @@
 
 // forget drops the judgements that have nothing left to say.
 func (l *Liveness) forget(now time.Time) {
+	l.forgetAccusations(now)
 	for number, judged := range l.judged {
 		l.forgetWitnesses(judged, now)
 		if len(judged.witnesses) == 0 && now.Sub(judged.latest()) > generationTime {
--- a/internal/tokenroute/liveness.go
+++ b/internal/tokenroute/liveness.go
@@ -115,11 +115,10 @@
 	// statements are what other balancers have yet to be told.
 	statements []evidence.Statement
 	// zoneVerdicts are those on zones, also those that wait for an answer.
-	zoneVerdicts map[string]*zoneVerdict
+	zoneVerdicts map[zonePool]*zoneVerdict
 	zoneLives    map[string]*zoneLife
+	accusations  map[zonePool]accusations
 	deadZones    []DeadZone
-	// table is the latest one.
-	table *Table
 	// held are the back ends whose joined witnesses wait for an answer.
 	held []held
 	// Verdicts counts the verdicts that back ends are dead.
@@ -132,7 +131,7 @@
 // whom nothing speaks yet.
 func newLiveness(memory *memory, zones *zones, off mechanism.Set) *Liveness {
 	return &Liveness{off: off, memory: memory, zones: zones, judged: make(map[uint64]*judgement),
-		zoneVerdicts: make(map[string]*zoneVerdict), zoneLives: make(map[string]*zoneLife)}
+		zoneVerdicts: make(map[zonePool]*zoneVerdict), zoneLives: make(map[string]*zoneLife), accusations: make(map[zonePool]accusations)}
 }
 
 // Observe takes a later packet of a flow that goes to a back end, and tells
@@ -238,7 +237,7 @@
 func (l *Liveness) judgementOf(backend *Backend) *judgement {
 	judged := l.judged[backend.Number]
 	if judged == nil && len(l.judged) < judgedLimit {
-		judged = &judgement{zone: backend.Zone, witnesses: make(map[clientAddress]witness)}
+		judged = &judgement{backend: backend, witnesses: make(map[clientAddress]witness)}
 		l.judged[backend.Number] = judged
 	}
 	return judged
@@ -252,15 +251,14 @@
 		return
 	}
 	prompt := l.othersPrompt(judged, known.sentAt)
-	if !prompt && !l.off.Has(mechanism.ZoneVerdicts) {
-		prompt = l.promptOutside(backend.Zone, known.sentAt)
+	if prompt || l.promptOutside(backend.Zone, known.sentAt) {
+		l.accuseZone(backend, l.zone, known.sentAt, now)
 	}
 	judged.witnesses[client] = witness{sentAt: known.sentAt, prompt: prompt}
 	if !prompt || l.off.Has(mechanism.Verdicts) {
 		return
 	}
 	l.testify(backend, client, known.sentAt)
-	l.weighZone(backend.Zone, now)
 	if backend.Gone || known.repeats >= repeatsForProof || judged.own() >= witnessesNeeded {
 		l.condemn(judged, backend, now)
 		return
@@ -328,7 +326,7 @@
 // Dead tells whether a back end counts as dead. The verdict on one whose entry
 // is gone stays until something proves the opposite.
 func (l *Liveness) Dead(backend *Backend, now time.Time) bool {
-	if l.deadZone(backend, now) {
+	if _, silent := l.zoneDead(backend, now); silent {
 		return true
 	}
 	judged := l.judged[backend.Number]
--- a/internal/tokenroute/zone_verdict.go
+++ b/internal/tokenroute/zone_verdict.go
@@ -3,224 +3,161 @@
 import (
 	"time"
 
-	"github.com/indigobarrow/indigobarrow/internal/evidence"
-	"github.com/indigobarrow/indigobarrow/internal/flow"
 	"github.com/indigobarrow/indigobarrow/internal/mechanism"
 )
 
 const (
-	// zoneWitnesses is of how many different back ends of a zone requests must have
-	// stayed unanswered, with nothing newer known of any of the zone, for all of them
-	// to count as dead from here. Where a third of them is dead, it is by chance that no
+	// zoneWitnesses is of how many different back ends of a pool in a zone requests must
+	// have stayed unanswered, with nothing newer known of any of the zone, for the zone to
+	// count as dead from here. Where a third of them is dead, it is by chance that no
 	// other one was asked: one in 3^8, 6,561.
 	zoneWitnesses = 8
+	// zoneConfirms is of how many of them balancers of the accused zone, or of each of two
+	// others, must have seen it. A link between two zones that is full or loses packets is
+	// seen from one.
+	zoneConfirms = 3
 	// zoneHold is how long these witnesses wait for an answer: longer than those against
 	// one back end, since a balancer that is late with it would reset living flows.
 	zoneHold = 300 * time.Millisecond
+	// zoneSilentFor is for how long a back end of a silent zone must itself have left a
+	// request unanswered for its flows to be reset: a slow one answers within 0.9 s, and
+	// who sees that tells it within holdTime.
+	zoneSilentFor = 900*time.Millisecond + holdTime
 	// zonePrompts is how many back ends outside a zone must have answered promptly, at
 	// least, before a balancer trusts its own link against the zone.
 	zonePrompts = 3
 )
 
-// zoneVerdict says that a zone is dead or out of reach from here.
+// zoneVerdict says that a pool in a zone is dead or out of reach from here.
 type zoneVerdict struct {
 	// heldUntil is until when its witnesses wait for an answer.
 	heldUntil time.Time
 	// since is when the first unanswered request was sent, and until when the verdict
 	// ends without a further witness.
 	since, until time.Time
+	// dead are the back ends that have themselves been silent for long enough.
+	dead map[uint64]bool
+	// nextAt is when the next one will have been; the zero time is never.
+	nextAt time.Time
 }
 
-// zoneLife is when a zone is known to have lived.
-type zoneLife struct {
-	// at is the latest time at which one of its back ends sent something that passed
-	// here, and backend is that one.
-	at      time.Time
-	backend *Backend
-	// toldAt is the latest such time that all balancers were told.
-	toldAt time.Time
-}
+func (v *zoneVerdict) stands(now time.Time) bool { return now.Before(v.until) }
 
-// DeadZone is a zone whose back ends were all judged dead at once, for the log.
+// DeadZone is a pool in a zone that was judged dead, for the log.
 type DeadZone struct {
-	Zone string
-	// Backends are those with witnesses, and Flows how many were reset.
+	Zone, Pool string
+	// Backends are those with witnesses, and Flows how many were reset at once.
 	Backends, Flows int
 	SilentSince     time.Time
 }
 
-// weighZone judges a zone as a whole. Each back end for itself needs two clients that
-// lose a request to it; where a zone dies or is cut off, a hundred of them do. The
-// flows that wait for nothing yet are reset too, so that their clients' next requests
-// go elsewhere within their aim. The zone may live behind a cut: its back ends then
-// can't be reached from here, and clients whose flows it holds lose no more than the
-// wait for their deadline.
-func (l *Liveness) weighZone(zone string, now time.Time) {
-	if zone == "" || l.off.Has(mechanism.ZoneVerdicts) {
+// judgesZones tells whether balancers judge a zone as a whole. Without what others tell
+// nobody answers for its living back ends.
+func (l *Liveness) judgesZones(zone string) bool {
+	return zone != "" && !l.off.Has(mechanism.ZoneVerdicts) && !l.off.Has(mechanism.JoinedEvidence) && !l.off.Has(mechanism.Verdicts)
+}
+
+// weighZone judges a pool in a zone as a whole. Each back end for itself needs two clients
+// that lose a request to it; where a zone dies or is cut off, a hundred of them do. New
+// flows then avoid all of them, but only flows of those are reset that have themselves
+// left a request unanswered: another one may live and be idle.
+func (l *Liveness) weighZone(accused zonePool, now time.Time) {
+	life, found := l.zoneLife(accused.zone), l.zoneEvidence(accused, now)
+	if found.all < zoneWitnesses {
 		return
 	}
-	life := l.zoneLife(zone)
-	count, since := l.zoneEvidence(zone, life.toldAt, now)
-	if count < zoneWitnesses {
+	if life.at.After(found.since) {
+		l.tellZoneLife(life)
 		return
 	}
-	if life.at.After(since) {
-		// The others may know of nobody there that lives.
-		life.toldAt = life.at
-		l.state(evidence.SignOfLife{Backend: evidence.Backend(life.backend.Number), At: life.at})
+	if len(found.here) < zoneWitnesses || !found.confirmed {
 		return
 	}
-	verdict := l.zoneVerdicts[zone]
+	verdict := l.zoneVerdicts[accused]
 	switch {
-	case verdict == nil:
-		l.zoneVerdicts[zone] = &zoneVerdict{heldUntil: now.Add(zoneHold), since: since}
+	case verdict == nil || !verdict.until.IsZero() && !verdict.stands(now):
+		l.zoneVerdicts[accused] = &zoneVerdict{heldUntil: now.Add(zoneHold), since: found.since, dead: make(map[uint64]bool)}
 	case now.Before(verdict.heldUntil):
-	case now.Before(verdict.until):
+	case verdict.stands(now):
 		verdict.until = now.Add(verdictTime)
+		l.abandonSilent(verdict, found, now)
 	default:
-		verdict.since, verdict.until = since, now.Add(verdictTime)
-		flows := l.abandonZone(zone, now)
+		verdict.since, verdict.until = found.since, now.Add(verdictTime)
+		flows := l.abandonSilent(verdict, found, now)
 		l.ZoneVerdicts.Add(1)
-		l.deadZones = append(l.deadZones, DeadZone{Zone: zone, Backends: count, Flows: flows, SilentSince: since})
-	}
-}
-
-// zoneLife returns when a zone is known to have lived.
-func (l *Liveness) zoneLife(zone string) *zoneLife {
-	known := l.zoneLives[zone]
-	if known == nil {
-		known = &zoneLife{}
-		l.zoneLives[zone] = known
-	}
-	return known
-}
-
-// zoneEvidence counts the back ends of a zone whose requests stayed unanswered that were
-// sent later than a time, and when the first of these was.
-func (l *Liveness) zoneEvidence(zone string, livedAt, now time.Time) (count int, since time.Time) {
-	for _, judged := range l.judged {
-		if judged.zone != zone {
-			continue
-		}
-		sentAt, found := judged.firstWitness(livedAt, now)
-		if !found {
-			continue
-		}
-		count++
-		if since.IsZero() || sentAt.Before(since) {
-			since = sentAt
-		}
+		l.deadZones = append(l.deadZones, DeadZone{Zone: accused.zone, Pool: accused.pool, Backends: len(found.here),
+			Flows: flows, SilentSince: found.since})
 	}
-	return count, since
 }
 
-// firstWitness is when the first request was sent that stayed unanswered and counts,
-// of those sent after a time.
-func (j *judgement) firstWitness(after, now time.Time) (sentAt time.Time, found bool) {
-	for _, each := range j.witnesses {
-		if !each.prompt || now.Sub(each.sentAt) > toldTime || !each.sentAt.After(after) {
-			continue
-		}
-		if !found || each.sentAt.Before(sentAt) {
-			sentAt, found = each.sentAt, true
+// abandonSilent resets the flows of the back ends that have been silent for long enough,
+// as far as they are remembered. It returns how many they are.
+func (l *Liveness) abandonSilent(verdict *zoneVerdict, found zoneEvidence, now time.Time) int {
+	before := len(l.abandoned)
+	verdict.nextAt = time.Time{}
+	for number, sentAt := range found.here {
+		due := sentAt.Add(zoneSilentFor)
+		switch {
+		case verdict.dead[number]:
+		case now.Before(due):
+			verdict.nextAt = earliest(verdict.nextAt, due)
+		default:
+			verdict.dead[number] = true
+			if !l.off.Has(mechanism.IdleResets) {
+				l.abandon(l.judged[number].backend, now)
+			}
 		}
 	}
-	return sentAt, found
+	return len(l.abandoned) - before
 }
 
-// settleZones judges the zones whose witnesses have waited for an answer, and returns
-// when the next ones will have; the zero time is never.
+// settleZones judges the zones whose witnesses have waited for an answer, and back ends
+// that have been silent for long enough. It returns when the next ones will have; the
+// zero time is never.
 func (l *Liveness) settleZones(now time.Time) time.Time {
 	var next time.Time
-	for zone, verdict := range l.zoneVerdicts {
-		switch {
-		case now.Before(verdict.heldUntil):
-			if next.IsZero() || verdict.heldUntil.Before(next) {
-				next = verdict.heldUntil
-			}
-		case verdict.until.IsZero():
-			l.weighZone(zone, now)
-			if verdict.until.IsZero() {
-				delete(l.zoneVerdicts, zone)
-			}
-		case !now.Before(verdict.until):
-			delete(l.zoneVerdicts, zone)
+	for accused := range l.zoneVerdicts {
+		if due := l.settleZone(accused, now); !due.IsZero() {
+			next = earliest(next, due)
 		}
 	}
 	return next
 }
 
-// holdsZones tells whether witnesses against a zone wait for an answer.
-func (l *Liveness) holdsZones() bool {
-	for _, verdict := range l.zoneVerdicts {
-		if verdict.until.IsZero() {
-			return true
-		}
-	}
-	return false
-}
-
-// deadZone tells whether a back end's zone counts as dead.
-func (l *Liveness) deadZone(backend *Backend, now time.Time) bool {
-	verdict := l.zoneVerdicts[backend.Zone]
-	return verdict != nil && now.Before(verdict.until)
-}
-
-// proveZone takes that a back end of a zone lived at a time, which ends a verdict on the
-// whole of it. What another balancer tells, all are told.
-func (l *Liveness) proveZone(backend *Backend, livedAt time.Time, told bool) {
-	life := l.zoneLife(backend.Zone)
-	switch {
-	case told:
-		life.toldAt = latest(life.toldAt, livedAt)
-	case livedAt.After(life.at):
-		life.at, life.backend = livedAt, backend
+func (l *Liveness) settleZone(accused zonePool, now time.Time) time.Time {
+	verdict := l.zoneVerdicts[accused]
+	if now.Before(verdict.heldUntil) {
+		return verdict.heldUntil
 	}
-	if verdict := l.zoneVerdicts[backend.Zone]; verdict != nil && livedAt.After(verdict.since) {
-		delete(l.zoneVerdicts, backend.Zone)
+	if verdict.until.IsZero() {
+		l.weighZone(accused, now)
 	}
-}
-
-// abandonZone puts the flows of a zone's back ends that are remembered on the list of
-// those to reset, and forgets them. It returns how many they are.
-func (l *Liveness) abandonZone(zone string, now time.Time) int {
-	if l.off.Has(mechanism.IdleResets) {
-		return 0
+	if !verdict.stands(now) {
+		delete(l.zoneVerdicts, accused)
+		return time.Time{}
 	}
-	before := len(l.abandoned)
-	for _, backend := range l.usedOf(zone) {
-		l.abandon(backend, now)
+	if !verdict.nextAt.IsZero() && !now.Before(verdict.nextAt) {
+		l.abandonSilent(verdict, l.zoneEvidence(accused, now), now)
 	}
-	return len(l.abandoned) - before
+	return verdict.nextAt
 }
 
-// usedOf returns the back ends of a zone that have flows here.
-func (l *Liveness) usedOf(zone string) map[uint64]*Backend {
-	used := make(map[uint64]*Backend)
-	for _, generation := range []map[flow.Key]*flowState{l.memory.current, l.memory.previous} {
-		for _, state := range generation {
-			if backend := state.track.backend; backend != nil && backend.Zone == zone {
-				used[backend.Number] = backend
-			}
-		}
-	}
-	for number := range l.memory.rested {
-		if l.table == nil {
-			break
-		}
-		if backend := l.table.Backend(number); backend != nil && backend.Zone == zone {
-			used[number] = backend
+// holdsZones tells whether something waits for settleZones.
+func (l *Liveness) holdsZones() bool {
+	for _, verdict := range l.zoneVerdicts {
+		if verdict.until.IsZero() || !verdict.nextAt.IsZero() {
+			return true
 		}
 	}
-	return used
+	return false
 }
 
-func latest(times ...time.Time) time.Time {
-	found := times[0]
-	for _, each := range times[1:] {
-		if each.After(found) {
-			found = each
-		}
+// zoneDead tells whether the pool of a back end counts as dead in its zone: new flows
+// avoid it. Silent tells whether the back end itself does.
+func (l *Liveness) zoneDead(backend *Backend, now time.Time) (dead, silent bool) {
+	verdict := l.zoneVerdicts[zonePoolOf(backend)]
+	if verdict == nil || !verdict.stands(now) {
+		return false, false
 	}
-	return found
+	return true, verdict.dead[backend.Number]
 }
