Signs of life have room of their own, and count as told only when they are

Cause: the limits on statements (256 that wait, 200 a second on the board, 64 in a message) were shared, and witnesses fill them when many back ends fall silent at once, which is when a sign of life must get through; and a zone's life counted as told though there had been no room, so that it was never told again.

Now signs of life wait in room of their own (256), have 100 a second on the board, and go first in a message; a sign of life that found no room is told with the next witness. The new tests on room fail before; TestSignsOfLifeHaveRoomOfTheirOwn and TestSignsOfLifeAreToldFirst name new limits and did not build.

--- a/internal/balancer/testimony.go
+++ b/internal/balancer/testimony.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
@@ -99,7 +100,7 @@
 		return
 	}
 	request := &apiv1.TestifyRequest{FromAddress: c.balancer.settings.Load().GetPeerAddress(), Clock: t.theirs.ID}
-	for _, statement := range statements[:min(len(statements), testimonyLimit)] {
+	for _, statement := range firstToTell(statements) {
 		request.Testimony = append(request.Testimony, encodeStatement(statement, t.theirs.There(statement)))
 	}
 	t.telling = true
@@ -173,11 +174,26 @@
 	reply.Clock = c.testimony.clock
 	reply.ClockMilliseconds = uint64(c.clockNow(now).Milliseconds())
 	reply.TestimonyLatest = c.testimony.board.Latest()
-	for _, statement := range statements[:min(len(statements), testimonyLimit)] {
+	for _, statement := range firstToTell(statements) {
 		reply.Testimony = append(reply.Testimony, encodeStatement(statement, now.Sub(statement.When())))
 	}
 }
 
+// firstToTell returns the statements for which one message has room: signs of life before
+// witnesses, since who misses one would judge a back end that lives.
+func firstToTell(statements []evidence.Statement) []evidence.Statement {
+	ordered := slices.Clone(statements)
+	slices.SortStableFunc(ordered, func(one, other evidence.Statement) int { return tellOrder(one) - tellOrder(other) })
+	return ordered[:min(len(ordered), testimonyLimit)]
+}
+
+func tellOrder(statement evidence.Statement) int {
+	if _, is := statement.(evidence.SignOfLife); is {
+		return 0
+	}
+	return 1
+}
+
 // encodeStatement returns a statement for a message, with the time in the form that the
 // message takes.
 func encodeStatement(statement evidence.Statement, at time.Duration) *apiv1.Testimony {
--- a/internal/balancer/testimony_test.go
+++ b/internal/balancer/testimony_test.go
@@ -130,3 +130,16 @@
 	require.False(t, box.filled.Load())
 	require.Empty(t, box.take())
 }
+
+// One message has room for so many statements; signs of life are among them.
+func TestSignsOfLifeAreToldFirst(t *testing.T) {
+	var statements []evidence.Statement
+	for number := range evidence.Backend(2 * testimonyLimit) {
+		statements = append(statements, evidence.Witness{Backend: number})
+	}
+	statements = append(statements, evidence.SignOfLife{Backend: 7})
+	told := firstToTell(statements)
+	require.Len(t, told, testimonyLimit)
+	require.Equal(t, evidence.SignOfLife{Backend: 7}, told[0])
+	require.Equal(t, evidence.Witness{Backend: 0}, told[1], "the others in their order")
+}
--- a/internal/evidence/board.go
+++ b/internal/evidence/board.go
@@ -20,9 +20,12 @@
 	witnessesOfZone = 3
 	// renewedAfter is when further witnesses are passed on, so that a verdict lasts.
 	renewedAfter = time.Second
-	// budget bounds the statements taken in a second. At some 30 bytes each, passed on
+	// budget bounds the witnesses taken in a second. At some 30 bytes each, passed on
 	// to 16 balancers, it is some 100 KB for the one passing on and 6 KB for the others.
 	budget = 200
+	// lifeBudget is the same for signs of life, in room of their own: many back ends that
+	// fall silent at once leave none, just when one that lives has to be told.
+	lifeBudget = 100
 )
 
 // posted is a statement on a board.
@@ -39,9 +42,9 @@
 type Board struct {
 	sequence uint64
 	posted   []posted
-	// second and taken count the statements of a second.
-	second time.Time
-	taken  int
+	// second, witnesses and lives count the statements of a second.
+	second           time.Time
+	witnesses, lives int
 	// Refused counts the statements beyond the budget.
 	Refused atomic.Uint64
 }
@@ -50,7 +53,7 @@
 // tells whether the statement is new and is passed on.
 func (b *Board) Add(statement Statement, from string, now time.Time) bool {
 	b.expire(now)
-	if b.known(statement, now) || !b.afford(now) {
+	if b.known(statement, now) || !b.afford(statement, now) {
 		return false
 	}
 	b.sequence++
@@ -110,15 +113,19 @@
 	return ofZone >= witnessesOfZone
 }
 
-// afford tells whether one more statement is within the budget.
-func (b *Board) afford(now time.Time) bool {
+// afford tells whether one more statement is within its budget.
+func (b *Board) afford(statement Statement, now time.Time) bool {
 	if now.Sub(b.second) >= time.Second {
-		b.second, b.taken = now, 0
+		b.second, b.witnesses, b.lives = now, 0, 0
 	}
-	if b.taken >= budget {
+	taken, limit := &b.witnesses, budget
+	if _, is := statement.(SignOfLife); is {
+		taken, limit = &b.lives, lifeBudget
+	}
+	if *taken >= limit {
 		b.Refused.Add(1)
 		return false
 	}
-	b.taken++
+	*taken++
 	return true
 }
--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -67,6 +67,22 @@
 	require.LessOrEqual(t, len(board.posted), 2*budget+1)
 }
 
+// Signs of life have room of their own: who misses one would judge a back end that lives.
+func TestSignsOfLifeHaveRoomOfTheirOwn(t *testing.T) {
+	var board Board
+	for backend := range Backend(2 * budget) {
+		board.Add(witness(backend, 1, "maadi", 0), "peer", at(0))
+	}
+	passed := 0
+	for backend := range Backend(2 * lifeBudget) {
+		if board.Add(SignOfLife{Backend: backend, At: at(0)}, "peer", at(0)) {
+			passed++
+		}
+	}
+	require.Equal(t, lifeBudget, passed)
+	require.True(t, board.Add(SignOfLife{Backend: 1, At: at(1000)}, "peer", at(1000)), "a second later")
+}
+
 // Whatever the clocks show and however late an answer is, a witness is never younger in
 // the other's clock than it is, and a sign of life never older.
 func TestTimesAreTranslatedInFavourOfTheBackend(t *testing.T) {
--- a/internal/tokenroute/joined.go
+++ b/internal/tokenroute/joined.go
@@ -16,7 +16,9 @@
 	holdTime = 200 * time.Millisecond
 	// toldTime is how long a witness that another balancer told counts.
 	toldTime = 3 * time.Second
-	// statementsLimit bounds the statements that wait to be told.
+	// statementsLimit bounds the witnesses that wait to be told, and as many signs of
+	// life: where many back ends fall silent at once, witnesses would crowd out what
+	// speaks against them.
 	statementsLimit = 256
 )
 
@@ -171,10 +173,24 @@
 	l.state(evidence.SignOfLife{Backend: evidence.Backend(backend.Number), At: judged.provenAt})
 }
 
-func (l *Liveness) state(statement evidence.Statement) {
-	if len(l.statements) < statementsLimit && !l.off.Has(mechanism.JoinedEvidence) {
-		l.statements = append(l.statements, statement)
+// state lets the other balancers know of a statement, and tells whether there was room
+// for it.
+func (l *Liveness) state(statement evidence.Statement) bool {
+	if l.off.Has(mechanism.JoinedEvidence) {
+		return false
+	}
+	_, life := statement.(evidence.SignOfLife)
+	waiting := 0
+	for _, each := range l.statements {
+		if _, is := each.(evidence.SignOfLife); is == life {
+			waiting++
+		}
+	}
+	if waiting >= statementsLimit {
+		return false
 	}
+	l.statements = append(l.statements, statement)
+	return true
 }
 
 func addressOf(client evidence.Client) clientAddress {
--- a/internal/tokenroute/zone_evidence.go
+++ b/internal/tokenroute/zone_evidence.go
@@ -130,10 +130,11 @@
 }
 
 // tellZoneLife lets all balancers know that a zone lives: they may know of nobody there
-// that does.
+// that does. While there is no room for it, it is told with the next witness.
 func (l *Liveness) tellZoneLife(life *zoneLife) {
-	l.state(evidence.SignOfLife{Backend: evidence.Backend(life.backend.Number), At: life.at})
-	life.toldAt = life.at
+	if l.state(evidence.SignOfLife{Backend: evidence.Backend(life.backend.Number), At: life.at}) {
+		life.toldAt = life.at
+	}
 }
 
 // proveZone takes that a back end of a zone lived at a time, which ends the verdicts on
--- a/internal/tokenroute/zone_verdict_test.go
+++ b/internal/tokenroute/zone_verdict_test.go
@@ -321,12 +321,43 @@
 }
 
 func TestZoneVerdictsCanBeSwitchedOff(t *testing.T) {
-	off, err := mechanism.Parse([]string{string(mechanism.ZoneVerdicts)})
-	require.NoError(t, err)
-	z := newZoneFlows(off)
-	z.unanswered(silentClients...)
-	require.Empty(t, z.reset(1600+holdOfZone))
-	require.False(t, z.flows.Holds())
+	// Nobody answers for the living where nothing is told.
+	for _, name := range []mechanism.Name{mechanism.ZoneVerdicts, mechanism.JoinedEvidence} {
+		off, err := mechanism.Parse([]string{string(name)})
+		require.NoError(t, err)
+		z := newZoneFlows(off)
+		z.unanswered(silentClients...)
+		require.Empty(t, z.reset(1600+holdOfZone))
+		require.False(t, z.flows.Holds())
+	}
+}
+
+// Witnesses leave no room where many back ends fall silent at once, which is just when a
+// sign of life for one that lives has to be told.
+func TestSignOfLifeFindsRoomAmongWitnesses(t *testing.T) {
+	z := newZoneFlows(mechanism.Set{})
+	z.flows.Decide(z.table, acknowledgement(110, 110), at(1100))
+	z.flows.TakeStatements()
+	for range statementsLimit {
+		z.flows.liveness.state(speak(120, 1, "maadi", 1000))
+	}
+	z.told("maadi", zoneWitnesses)
+	told := z.flows.TakeStatements()
+	require.Equal(t, evidence.SignOfLife{Backend: 110, At: at(1100)}, told[len(told)-1])
+}
+
+// A sign of life for which there was no room is told with the next witness.
+func TestSignOfLifeThatFoundNoRoomIsToldLater(t *testing.T) {
+	z := newZoneFlows(mechanism.Set{})
+	z.flows.Decide(z.table, acknowledgement(110, 110), at(1100))
+	z.flows.TakeStatements()
+	for range statementsLimit {
+		z.flows.liveness.state(evidence.SignOfLife{Backend: 1, At: at(1000)})
+	}
+	z.told("maadi", zoneWitnesses)
+	require.NotContains(t, z.flows.TakeStatements(), evidence.Statement(evidence.SignOfLife{Backend: 110, At: at(1100)}))
+	z.flows.Hear(speak(109, 209, "maadi", 1010), z.table, at(1660))
+	require.Equal(t, []evidence.Statement{evidence.SignOfLife{Backend: 110, At: at(1100)}}, z.flows.TakeStatements())
 }
 
 // What passes here tells the others that a zone lives of which they see only the dead:
