Zone verdicts reset a back end's flows only where others see it silent too

Cause: three back ends confirmed by others were enough for all that were silent from here, so a link between two zones that is full, together with three dead back ends beyond it, reset flows of the living ones. Each back end is confirmed for itself now, by balancers of its zone or of two others.

--- a/internal/tokenroute/zone_evidence.go
+++ b/internal/tokenroute/zone_evidence.go
@@ -48,48 +48,69 @@
 	return judged != nil && sentAt.After(judged.provenAt) && sentAt.After(life.toldAt) && now.Sub(sentAt) <= toldTime
 }
 
+// silentBackend is what speaks against one back end.
+type silentBackend struct {
+	// here is when the first request was sent that counts, by the ways that this balancer
+	// has to the back end; the zero time is none.
+	here time.Time
+	// beside is set when balancers of its own zone saw it, and zones is of how many zones
+	// balancers did.
+	beside bool
+	zones  int
+}
+
+// confirmed tells whether it is more than a link between two zones that is full.
+func (s *silentBackend) confirmed() bool { return s.beside || s.zones >= 2 }
+
 // zoneEvidence is what speaks against a pool in a zone.
 type zoneEvidence struct {
-	// here are the back ends that are silent by the ways that this balancer has to them,
-	// each with when the first request was sent that counts.
-	here map[uint64]time.Time
-	// all are how many are silent from anywhere.
-	all int
-	// since is when the first of all these requests was sent.
+	backends map[uint64]*silentBackend
+	// here counts those that are silent by the ways that this balancer has to them.
+	here int
+	// confirmed counts those that others see silent too.
+	confirmed int
+	// since is when the first request was sent that counts.
 	since time.Time
-	// confirmed is set when those who saw it stand in the accused zone or in two others.
-	confirmed bool
 }
 
 func (l *Liveness) zoneEvidence(accused zonePool, now time.Time) zoneEvidence {
-	found := zoneEvidence{here: make(map[uint64]time.Time)}
-	all, zones, life := make(map[uint64]bool), 0, l.zoneLife(accused.zone)
+	found, life := zoneEvidence{backends: make(map[uint64]*silentBackend)}, l.zoneLife(accused.zone)
 	for seenIn, backends := range l.accusations[accused] {
-		silent := 0
 		for number, known := range backends {
 			sentAt := known.first
 			if !l.speaks(number, sentAt, life, now) {
 				sentAt = known.last
 			}
-			if !l.speaks(number, sentAt, life, now) {
-				continue
-			}
-			silent++
-			all[number] = true
-			found.since = earliest(found.since, sentAt)
-			if seenIn == l.zone || seenIn == accused.zone {
-				found.here[number] = earliest(found.here[number], sentAt)
+			if l.speaks(number, sentAt, life, now) {
+				found.add(number, sentAt, seenIn == accused.zone, seenIn == l.zone)
 			}
 		}
-		if silent >= zoneConfirms {
-			zones++
-			found.confirmed = found.confirmed || seenIn == accused.zone || zones >= 2
+	}
+	for _, silent := range found.backends {
+		if !silent.here.IsZero() {
+			found.here++
+		}
+		if silent.confirmed() {
+			found.confirmed++
 		}
 	}
-	found.all = len(all)
 	return found
 }
 
+func (e *zoneEvidence) add(number uint64, sentAt time.Time, beside, here bool) {
+	silent := e.backends[number]
+	if silent == nil {
+		silent = &silentBackend{}
+		e.backends[number] = silent
+	}
+	silent.zones++
+	silent.beside = silent.beside || beside
+	if beside || here {
+		silent.here = earliest(silent.here, sentAt)
+	}
+	e.since = earliest(e.since, sentAt)
+}
+
 // forgetAccusations drops those that are too old to count.
 func (l *Liveness) forgetAccusations(now time.Time) {
 	for accused, seen := range l.accusations {
--- a/internal/tokenroute/zone_verdict.go
+++ b/internal/tokenroute/zone_verdict.go
@@ -12,9 +12,9 @@
 	// count as dead from here. Where a third of them is dead, it is by chance that no
 	// other one was asked: one in 3^8, 6,561.
 	zoneWitnesses = 8
-	// zoneConfirms is of how many of them balancers of the accused zone, or of each of two
-	// others, must have seen it. A link between two zones that is full or loses packets is
-	// seen from one.
+	// zoneConfirms is of how many of them balancers of the accused zone, or of two others,
+	// must have seen it. A link between two zones that is full or loses packets is seen
+	// from one.
 	zoneConfirms = 3
 	// zoneHold is how long these witnesses wait for an answer: longer than those against
 	// one back end, since a balancer that is late with it would reset living flows.
@@ -60,17 +60,18 @@
 // weighZone judges a pool in a zone as a whole. Each back end for itself needs two clients
 // that lose a request to it; where a zone dies or is cut off, a hundred of them do. New
 // flows then avoid all of them, but only flows of those are reset that have themselves
-// left a request unanswered: another one may live and be idle.
+// left a request unanswered, as others see too: another one may live and be idle, or
+// behind a link that is full.
 func (l *Liveness) weighZone(accused zonePool, now time.Time) {
 	life, found := l.zoneLife(accused.zone), l.zoneEvidence(accused, now)
-	if found.all < zoneWitnesses {
+	if len(found.backends) < zoneWitnesses {
 		return
 	}
 	if life.at.After(found.since) {
 		l.tellZoneLife(life)
 		return
 	}
-	if len(found.here) < zoneWitnesses || !found.confirmed {
+	if found.here < zoneWitnesses || found.confirmed < zoneConfirms {
 		return
 	}
 	verdict := l.zoneVerdicts[accused]
@@ -85,7 +86,7 @@
 		verdict.since, verdict.until = found.since, now.Add(verdictTime)
 		flows := l.abandonSilent(verdict, found, now)
 		l.ZoneVerdicts.Add(1)
-		l.deadZones = append(l.deadZones, DeadZone{Zone: accused.zone, Pool: accused.pool, Backends: len(found.here),
+		l.deadZones = append(l.deadZones, DeadZone{Zone: accused.zone, Pool: accused.pool, Backends: found.here,
 			Flows: flows, SilentSince: found.since})
 	}
 }
@@ -95,10 +96,10 @@
 func (l *Liveness) abandonSilent(verdict *zoneVerdict, found zoneEvidence, now time.Time) int {
 	before := len(l.abandoned)
 	verdict.nextAt = time.Time{}
-	for number, sentAt := range found.here {
-		due := sentAt.Add(zoneSilentFor)
+	for number, silent := range found.backends {
+		due := silent.here.Add(zoneSilentFor)
 		switch {
-		case verdict.dead[number]:
+		case verdict.dead[number] || silent.here.IsZero() || !silent.confirmed():
 		case now.Before(due):
 			verdict.nextAt = earliest(verdict.nextAt, due)
 		default:
