--- a/internal/balancer/traffic.go
+++ b/internal/balancer/traffic.go
@@ -135,7 +135,7 @@
 			"unanswered_backends", dead.Backends, "flows_reset", dead.Flows, "silent_for", now.Sub(dead.SilentSince).Round(time.Millisecond))
 	}
 	for _, silent := range t.flows.TakeSilentZones() {
-		t.balancer.logger.Warn("Traffic: a zone answers nothing, new flows avoid it.", "silent_zone", silent.Zone,
+		t.balancer.logger.Warn("Traffic: a zone answers nothing, new flows avoid it.", "silent_zone", silent.Zone, "times", silent.Times,
 			"silent_for", now.Sub(silent.Since).Round(time.Millisecond))
 	}
 	for _, abandoned := range t.flows.TakeAbandoned() {
--- a/internal/tokenroute/zones.go
+++ b/internal/tokenroute/zones.go
@@ -16,6 +16,9 @@
 	zoneAvoid = time.Second
 	// zoneMissTime is how long something unanswered speaks against its zone.
 	zoneMissTime = 4 * time.Second
+	// zoneLogPause is how often the log is told of a zone: one that loses some packets goes
+	// back and forth, 25 times in 120 s at few flows a second.
+	zoneLogPause = 10 * time.Second
 )
 
 // zones tells zones out of reach from here by what their back ends leave unanswered:
@@ -46,6 +49,9 @@
 	// that it left unanswered.
 	misses     []zoneMiss
 	avoidUntil time.Time
+	// toldAt is when the log was last told, and untold how often it was found silent since.
+	toldAt time.Time
+	untold int
 }
 
 type zoneMiss struct {
@@ -58,6 +64,8 @@
 	Zone string
 	// Since is when the first packet was sent that was left unanswered.
 	Since time.Time
+	// Times is how often it was found silent since it was last told.
+	Times int
 }
 
 func newZones(off mechanism.Set) *zones {
@@ -85,6 +93,9 @@
 
 // missed takes that a back end left unanswered what was sent at a time.
 func (z *zones) missed(backend *Backend, sentAt, now time.Time) {
+	if z.off.Has(mechanism.SilentZones) {
+		return
+	}
 	known := z.of(backend.Zone)
 	if !sentAt.After(known.answeredAt) {
 		return
@@ -99,8 +110,18 @@
 	z.until = latest(z.until, known.avoidUntil)
 	if !silent {
 		z.silenced.Add(1)
-		z.verdict = append(z.verdict, SilentZone{Zone: backend.Zone, Since: known.misses[0].sentAt})
+		z.tell(backend.Zone, known, now)
+	}
+}
+
+// tell lets the log know that a zone was found silent, now and then.
+func (z *zones) tell(zone string, known *zoneSilence, now time.Time) {
+	known.untold++
+	if !known.toldAt.IsZero() && now.Sub(known.toldAt) < zoneLogPause {
+		return
 	}
+	z.verdict = append(z.verdict, SilentZone{Zone: zone, Since: known.misses[0].sentAt, Times: known.untold})
+	known.toldAt, known.untold = now, 0
 }
 
 // avoids tells whether new flows avoid a zone.
@@ -109,7 +130,7 @@
 		return false
 	}
 	known := z.known[zone]
-	return known != nil && known.silent() && now.Before(known.avoidUntil) && !z.off.Has(mechanism.SilentZones)
+	return known != nil && known.silent() && now.Before(known.avoidUntil)
 }
 
 // tried takes that a new flow goes to a zone: where it was silent, the flow tries it
--- a/internal/tokenroute/zones_test.go
+++ b/internal/tokenroute/zones_test.go
@@ -140,3 +140,32 @@
 	zones.answered(&Backend{Number: 9, Zone: "giza"}, at(1))
 	require.True(t, zones.of("giza").silent(), "what was sent before says nothing")
 }
+
+// A zone of which some answer and others do not goes back and forth; the log is told of it
+// once in ten seconds. Switched off, nothing is counted or told.
+func TestSilentZoneIsLoggedNowAndThen(t *testing.T) {
+	flap := func(off mechanism.Set) (told, times int, counted uint64) {
+		zones := newZones(off)
+		for now := 0; now < 120_000; now += 100 {
+			backend := &Backend{Number: uint64(now / 100 % 7), Zone: "giza"}
+			zones.missed(backend, at(now), at(now+1))
+			if now%1000 == 0 {
+				zones.answered(backend, at(now))
+			}
+		}
+		for _, each := range zones.verdict {
+			times += each.Times
+		}
+		return len(zones.verdict), times, zones.silenced.Load()
+	}
+	told, times, counted := flap(mechanism.Set{})
+	require.Greater(t, counted, uint64(50))
+	require.LessOrEqual(t, told, 12)
+	require.GreaterOrEqual(t, told, 10)
+	require.Greater(t, times, 50)
+	off, err := mechanism.Parse([]string{string(mechanism.SilentZones)})
+	require.NoError(t, err)
+	told, _, counted = flap(off)
+	require.Zero(t, told)
+	require.Zero(t, counted)
+}
