--- a/internal/balancer/metrics.go
+++ b/internal/balancer/metrics.go
@@ -91,7 +91,6 @@
 	counter(flowsDescription, traffic.flows.Missed.Load(), "not_answered")
 	counter(flowsDescription, traffic.flows.Verdicts(), "backend_dead")
 	counter(flowsDescription, traffic.flows.Silenced(), "zone_silent")
-	counter(flowsDescription, traffic.flows.ZoneVerdicts(), "zone_dead")
 	counter(earlyDescription, traffic.early.sent.Load(), "sent")
 	counter(earlyDescription, traffic.early.lost.Load(), "lost")
 	counter(statementsDescription, traffic.heard.lost.Load()+traffic.statements.lost.Load(), "mailbox")
--- a/internal/balancer/traffic.go
+++ b/internal/balancer/traffic.go
@@ -130,10 +130,6 @@
 			"pool", verdict.Backend.Pool, "unanswered_here", verdict.Own, "unanswered_elsewhere", verdict.Told,
 			"silent_for", now.Sub(verdict.SilentSince).Round(time.Millisecond))
 	}
-	for _, dead := range t.flows.TakeDeadZones() {
-		t.balancer.logger.Warn("Traffic: a zone is judged dead or out of reach.", "dead_zone", dead.Zone,
-			"unanswered_backends", dead.Backends, "flows_reset", dead.Flows, "silent_for", now.Sub(dead.SilentSince).Round(time.Millisecond))
-	}
 	for _, silent := range t.flows.TakeSilentZones() {
 		t.balancer.logger.Warn("Traffic: a zone answers nothing, new flows avoid it.", "silent_zone", silent.Zone, "times", silent.Times,
 			"silent_for", now.Sub(silent.Since).Round(time.Millisecond))
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -37,8 +37,6 @@
 	IdleResets Name = "idle_resets"
 	// JoinedEvidence judges back ends by the witnesses of all balancers.
 	JoinedEvidence Name = "joined_evidence"
-	// ZoneVerdicts judges the back ends of a zone that answers nothing all at once.
-	ZoneVerdicts Name = "zone_verdicts"
 	// RestedFlows remembers flows for as long as they may rest, to reset them too.
 	RestedFlows Name = "rested_flows"
 	// LapseGrace keeps back ends whose entries lapsed in an outage.
@@ -67,7 +65,6 @@
 	Verdicts,
 	IdleResets,
 	JoinedEvidence,
-	ZoneVerdicts,
 	RestedFlows,
 	LapseGrace,
 	EarlyPackets,
--- a/internal/tokenroute/flows.go
+++ b/internal/tokenroute/flows.go
@@ -83,16 +83,6 @@
 	return taken
 }
 
-// ZoneVerdicts is how often a zone was judged dead as a whole.
-func (f *Flows) ZoneVerdicts() uint64 { return f.liveness.ZoneVerdicts.Load() }
-
-// TakeDeadZones returns the zones that were judged dead as a whole since the last call.
-func (f *Flows) TakeDeadZones() []DeadZone {
-	taken := f.liveness.deadZones
-	f.liveness.deadZones = nil
-	return taken
-}
-
 // TakeAbandoned returns the flows whose back end was judged dead since the last
 // call, to be reset.
 func (f *Flows) TakeAbandoned() []Abandoned {
@@ -141,7 +131,7 @@
 	if silent != nil && now.Before(silent.avoidUntil) && !f.off.Has(mechanism.AvoidSilent) {
 		return Avoided
 	}
-	if dead, _ := f.liveness.zoneDead(backend, now); dead || f.zones.avoids(backend.Zone, now) {
+	if f.zones.avoids(backend.Zone, now) {
 		return max(warmth, Distrusted)
 	}
 	return warmth
--- a/internal/tokenroute/joined.go
+++ b/internal/tokenroute/joined.go
@@ -42,7 +42,6 @@
 	case evidence.Witness:
 		f.liveness.hear(heard, backend, now)
 	case evidence.SignOfLife:
-		f.liveness.proveZone(backend, heard.At, true)
 		f.liveness.prove(backend, heard.At)
 	}
 }
@@ -57,25 +56,16 @@
 
 // Settle judges by the joined witnesses that nobody answered in time, and returns when
 // the next ones will have waited long enough; the zero time is never.
-func (f *Flows) Settle(now time.Time) time.Time {
-	next, ofZones := f.liveness.settle(now), f.liveness.settleZones(now)
-	if next.IsZero() || !ofZones.IsZero() && ofZones.Before(next) {
-		return ofZones
-	}
-	return next
-}
+func (f *Flows) Settle(now time.Time) time.Time { return f.liveness.settle(now) }
 
 // Holds tells whether joined witnesses wait for an answer.
-func (f *Flows) Holds() bool { return len(f.liveness.held) > 0 || f.liveness.holdsZones() }
+func (f *Flows) Holds() bool { return len(f.liveness.held) > 0 }
 
 // hear takes a witness that another balancer tells of. It counts for those that reach
 // the back end by the way that the other one does: from the same zone, or where the
 // other one stands in the zone of the back end. A zone that is cut off thus accuses
 // the others to itself only.
 func (l *Liveness) hear(heard evidence.Witness, backend *Backend, now time.Time) {
-	if now.Sub(heard.SentAt) <= toldTime {
-		l.accuseZone(backend, heard.Zone, heard.SentAt, now)
-	}
 	if heard.Zone != l.zone && heard.Zone != backend.Zone {
 		return
 	}
@@ -173,11 +163,10 @@
 	l.state(evidence.SignOfLife{Backend: evidence.Backend(backend.Number), At: judged.provenAt})
 }
 
-// state lets the other balancers know of a statement, and tells whether there was room
-// for it.
-func (l *Liveness) state(statement evidence.Statement) bool {
+// state lets the other balancers know of a statement, as far as there is room.
+func (l *Liveness) state(statement evidence.Statement) {
 	if l.off.Has(mechanism.JoinedEvidence) {
-		return false
+		return
 	}
 	_, life := statement.(evidence.SignOfLife)
 	waiting := 0
@@ -186,11 +175,9 @@
 			waiting++
 		}
 	}
-	if waiting >= statementsLimit {
-		return false
+	if waiting < statementsLimit {
+		l.statements = append(l.statements, statement)
 	}
-	l.statements = append(l.statements, statement)
-	return true
 }
 
 func addressOf(client evidence.Client) clientAddress {
--- a/internal/tokenroute/joined_test.go
+++ b/internal/tokenroute/joined_test.go
@@ -110,6 +110,20 @@
 	require.Zero(t, resets(told, 1500), "older than that answer")
 }
 
+// Witnesses leave no room where many back ends fall silent at once, which is just when a
+// sign of life for one that lives has to be told.
+func TestSignOfLifeFindsRoomAmongWitnesses(t *testing.T) {
+	table, flows := NewTable(zoned(), options()), NewFlows(mechanism.Set{}).InZone("maadi")
+	answered(flows, table, 1, 2, 200)
+	for client := range evidence.Client(2 * statementsLimit) {
+		flows.liveness.state(speak(3, client, "maadi", 100))
+	}
+	flows.Hear(speak(2, 101, "maadi", 100), table, at(700))
+	told := flows.TakeStatements()
+	require.Len(t, told, statementsLimit+1)
+	require.Equal(t, evidence.SignOfLife{Backend: 2, At: at(220)}, told[statementsLimit])
+}
+
 // A sign of life ends a verdict too.
 func TestVerdictEndsWithASignOfLife(t *testing.T) {
 	table, flows := NewTable(zoned(), options()), NewFlows(mechanism.Set{}).InZone("maadi")
--- a/internal/tokenroute/judgement.go
+++ b/internal/tokenroute/judgement.go
@@ -6,8 +6,6 @@
 
 // judgement is what speaks for and against a back end.
 type judgement struct {
-	// backend is the one that is judged.
-	backend *Backend
 	// provenAt is the latest time at which the back end is known to have sent
 	// something.
 	provenAt time.Time
@@ -95,7 +93,6 @@
 
 // forget drops the judgements that have nothing left to say.
 func (l *Liveness) forget(now time.Time) {
-	l.forgetAccusations(now)
 	for number, judged := range l.judged {
 		l.forgetWitnesses(judged, now)
 		if len(judged.witnesses) == 0 && now.Sub(judged.latest()) > generationTime {
@@ -114,3 +111,19 @@
 		}
 	}
 }
+
+// othersPrompt tells whether the other back ends have answered since a time,
+// so that it is not this balancer whose packets get lost.
+func (l *Liveness) othersPrompt(accused *judgement, since time.Time) bool {
+	prompt, troubled := 0, 0
+	for _, judged := range l.judged {
+		switch {
+		case judged == accused:
+		case judged.troubledAt.After(since):
+			troubled++
+		case judged.promptAt.After(since):
+			prompt++
+		}
+	}
+	return prompt > 0 && prompt >= promptRatio*troubled
+}
--- a/internal/tokenroute/liveness.go
+++ b/internal/tokenroute/liveness.go
@@ -71,24 +71,16 @@
 	verdicts  []DeathVerdict
 	// statements are what other balancers have yet to be told.
 	statements []evidence.Statement
-	// zoneVerdicts are those on zones, also those that wait for an answer.
-	zoneVerdicts map[zonePool]*zoneVerdict
-	zoneLives    map[string]*zoneLife
-	accusations  map[zonePool]accusations
-	deadZones    []DeadZone
 	// held are the back ends whose joined witnesses wait for an answer.
 	held []held
 	// Verdicts counts the verdicts that back ends are dead.
 	Verdicts atomic.Uint64
-	// ZoneVerdicts counts those on zones as a whole.
-	ZoneVerdicts atomic.Uint64
 }
 
 // newLiveness makes a judge of the back ends of the flows in a memory, against
 // whom nothing speaks yet.
 func newLiveness(memory *memory, zones *zones, off mechanism.Set) *Liveness {
-	return &Liveness{off: off, memory: memory, zones: zones, judged: make(map[uint64]*judgement),
-		zoneVerdicts: make(map[zonePool]*zoneVerdict), zoneLives: make(map[string]*zoneLife), accusations: make(map[zonePool]accusations)}
+	return &Liveness{off: off, memory: memory, zones: zones, judged: make(map[uint64]*judgement)}
 }
 
 // Observe takes a later packet of a flow that goes to a back end, and tells
@@ -182,7 +174,6 @@
 	}
 	if known.repeats == 0 {
 		l.zones.answered(backend, known.sentAt)
-		l.proveZone(backend, known.sentAt, false)
 	}
 	if judged != nil && known.repeats == 0 && known.sentAt.After(judged.promptAt) {
 		judged.promptAt = known.sentAt
@@ -194,7 +185,7 @@
 func (l *Liveness) judgementOf(backend *Backend) *judgement {
 	judged := l.judged[backend.Number]
 	if judged == nil && len(l.judged) < judgedLimit {
-		judged = &judgement{backend: backend, witnesses: make(map[clientAddress]witness)}
+		judged = &judgement{witnesses: make(map[clientAddress]witness)}
 		l.judged[backend.Number] = judged
 	}
 	return judged
@@ -208,9 +199,6 @@
 		return
 	}
 	prompt := l.othersPrompt(judged, known.sentAt)
-	if prompt || l.promptOutside(backend.Zone, known.sentAt) {
-		l.accuseZone(backend, l.zone, known.sentAt, now)
-	}
 	judged.witnesses[client] = witness{sentAt: known.sentAt, prompt: prompt}
 	if !prompt || l.off.Has(mechanism.Verdicts) {
 		return
@@ -256,7 +244,6 @@
 // prove takes that a back end lived at a time. Requests sent until then no
 // longer speak against it, and a verdict that rests on them ends.
 func (l *Liveness) prove(backend *Backend, livedAt time.Time) {
-	l.proveZone(backend, livedAt, false)
 	judged := l.judgementOf(backend)
 	if judged == nil {
 		return
@@ -283,9 +270,6 @@
 // Dead tells whether a back end counts as dead. The verdict on one whose entry
 // is gone stays until something proves the opposite.
 func (l *Liveness) Dead(backend *Backend, now time.Time) bool {
-	if _, silent := l.zoneDead(backend, now); silent {
-		return true
-	}
 	judged := l.judged[backend.Number]
 	if judged == nil || judged.deadUntil.IsZero() {
 		return false
--- a/internal/tokenroute/zones.go
+++ b/internal/tokenroute/zones.go
@@ -168,3 +168,10 @@
 	}
 	s.misses = kept
 }
+
+func latest(one, other time.Time) time.Time {
+	if other.After(one) {
+		return other
+	}
+	return one
+}
--- a/model/check.sh
+++ b/model/check.sh
@@ -63,9 +63,6 @@
 holds evidence
 caught evidence NO_PROMPT NO_ZONE NO_NUMBER NO_CLOCK NO_COMPARE_PROVEN ONE_CLIENT
 
-holds zone
-caught zone NO_HOLD NO_PROMPT NO_ZONE NO_LIFE ONE_BACKEND
-
 holds knowledge
 caught knowledge NO_TELLING_BACK NO_SEEKING
 
