--- a/cmd/balancer/main.go
+++ b/cmd/balancer/main.go
@@ -41,12 +41,15 @@
 		EnableShellCompletion: true,
 
 		Commands: []*cli.Command{policyCommand(), checkCommand(), explainCommand()},
-		Flags:    []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Sources: cli.EnvVars("INDIGOBARROW_CONFIG")}},
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Sources: cli.EnvVars("INDIGOBARROW_CONFIG")},
+			&cli.StringFlag{Name: "peer-listen", Usage: "`IP:PORT` to listen at for other balancers, if not peer_address itself"},
+		},
 		Action: func(ctx context.Context, command *cli.Command) error {
 			if command.Args().Present() {
 				return errors.Newf("there is no command %q; see --help", command.Args().First())
 			}
-			return run(ctx, command.String("settings"))
+			return run(ctx, command.String("settings"), command.String("peer-listen"))
 		},
 	}
 }
@@ -72,7 +75,7 @@
 
 // run serves until SIGTERM, which is a planned stop: the balancer says that it
 // is not ready, forwards until the routers have turned away, and ends.
-func run(ctx context.Context, path string) error {
+func run(ctx context.Context, path, peerListen string) error {
 	changed := make(chan os.Signal, 1)
 	signal.Notify(changed, syscall.SIGHUP)
 	load := func() (*apiv1.BalancerSettings, error) { return settings.LoadBalancer(path, nil) }
@@ -85,7 +88,9 @@
 	logger, level := logging.New(lines, logging.Options{
 		Level: loaded.GetLogLevel(), Format: loaded.GetLogFormat(), Node: loaded.GetName(),
 	})
-	made, err := balancer.New(loaded, outside(loaded, logger), logger)
+	needs := outside(loaded, logger)
+	needs.PeerListen = peerListen
+	made, err := balancer.New(loaded, needs, logger)
 	if err != nil {
 		return err
 	}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -76,6 +77,9 @@
 	Store Store
 	// Readiness makes the handler that tells routers whether to send packets.
 	Readiness func(ready func() bool) http.Handler
+	// PeerListen is the IP:port to listen at for other balancers if that is not the
+	// peer address itself, as where addresses are translated; empty if it is.
+	PeerListen string
 }
 
 // Balancer is one running balancer.
@@ -135,9 +139,10 @@
 		return errors.Wrapf(err, "traffic: listen on %s", address)
 	}
 	b.traffic = newTraffic(b, socket)
-	b.peers, err = net.Listen("tcp4", b.settings.Load().GetPeerAddress())
+	peers := cmp.Or(b.outside.PeerListen, b.settings.Load().GetPeerAddress())
+	b.peers, err = net.Listen("tcp4", peers)
 	if err != nil {
-		return errors.Wrapf(err, "peers: listen on %s", b.settings.Load().GetPeerAddress())
+		return errors.Wrapf(err, "peers: listen on %s", peers)
 	}
 	b.probes, err = net.Listen("tcp4", b.settings.Load().GetReadinessAddress())
 	return errors.Wrapf(err, "readiness: listen on %s", b.settings.Load().GetReadinessAddress())
