Stand-ins: back ends with slots, queue and shedding; the store refuses some callers, and writes late

A back end with a load acknowledges a request at once, so that its client repeats nothing while it waits, and runs each request once however often it comes. TestBackendSheds: of 12 at once with 2 slots and a queue of 4, 6 run, 6 are told not.

--- a/internal/standin/echonet/backend.go
+++ b/internal/standin/echonet/backend.go
@@ -31,6 +31,7 @@
 	socket     *net.UDPConn
 	mutex      sync.Mutex
 	flows      map[flowName]uint32
+	work       work
 	// opened counts first packets taken, foreign those for other back ends,
 	// unknown packets of flows that it does not hold, and forged ones whose
 	// sum was wrong.
@@ -43,7 +44,8 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "back end %s: listen on %s", id, address)
 	}
-	made := &Backend{ID: id, Pool: pool, clientPort: clientPort, key: key, socket: socket, flows: make(map[flowName]uint32)}
+	made := &Backend{ID: id, Pool: pool, clientPort: clientPort, key: key, socket: socket, flows: make(map[flowName]uint32),
+		work: newWork()}
 	if _, err := fmt.Sscanf(id, "i-%x", &made.number); err != nil {
 		return nil, errors.Wrapf(err, "back end %s", id)
 	}
@@ -118,6 +120,7 @@
 			backend.opened++
 			seq = rand.Uint32()
 			backend.flows[name] = seq
+			backend.work.took[packet.SourcePort] = true
 		}
 		backend.send(packet.reply(FlagSYN|FlagACK, seq, packet.Seq+1, nil))
 	case !held:
@@ -125,9 +128,9 @@
 		backend.send(packet.reply(FlagRST, packet.Ack, 0, nil))
 	case packet.Flags&FlagFIN != 0:
 		delete(backend.flows, name)
+		delete(backend.work.last, name)
 	case len(packet.Data) > 0:
-		body := append([]byte(backend.Pool+"/"+backend.ID+" "), packet.Data...)
-		backend.send(packet.reply(FlagACK, packet.Ack, packet.Seq+uint32(len(packet.Data)), body))
+		backend.request(name, packet)
 	}
 }
 
--- a/internal/standin/echonet/client.go
+++ b/internal/standin/echonet/client.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -16,6 +17,8 @@
 	ErrRefused = errors.New("the flow was refused")
 	// ErrBroken: an open flow was reset.
 	ErrBroken = errors.New("the flow was broken")
+	// ErrShed: the back end said that it has not run the request.
+	ErrShed = errors.New("the request was shed")
 	// ErrDeadline: no answer came in time.
 	ErrDeadline = errors.New("no answer came in time")
 )
@@ -75,6 +78,7 @@
 	seq    uint32
 	target netip.AddrPort
 	port   uint16
+	via    []netip.AddrPort
 }
 
 // The pauses before a packet is sent again.
@@ -83,7 +87,11 @@
 	dataPauses    = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond, 1600 * time.Millisecond}
 )
 
-// Open opens a flow to a route's address.
+// answerWait is how long a request is waited for once its back end has it.
+const answerWait = 3 * time.Second
+
+// Open opens a flow to a route's address. With an error comes the flow that was
+// tried.
 func (client *Client) Open(target netip.AddrPort) (*Flow, error) {
 	client.mutex.Lock()
 	client.next++
@@ -94,7 +102,7 @@
 		flow.send(FlagSYN, uint32(copies), nil)
 		answer, err := flow.await(pause, func(packet Packet) bool { return packet.Flags&FlagSYN != 0 })
 		if errors.Is(err, ErrBroken) {
-			return nil, ErrRefused
+			return flow, ErrRefused
 		}
 		if err == nil {
 			flow.last = answer
@@ -103,30 +111,50 @@
 			return flow, nil
 		}
 	}
-	return nil, ErrDeadline
+	return flow, ErrDeadline
+}
+
+// Port is the client's port.
+func (flow *Flow) Port() uint16 { return flow.port }
+
+// Via returns the balancers that packets were sent to since it was last asked.
+func (flow *Flow) Via() []netip.AddrPort {
+	via := flow.via
+	flow.via = nil
+	return via
 }
 
 // Request sends one request and returns who answered it, as "pool/id".
 func (flow *Flow) Request(body string) (string, error) {
+	taken := func(packet Packet) bool { return packet.Ack == flow.seq+uint32(len(body)) }
+	answered := func(packet Packet) bool { return strings.HasSuffix(string(packet.Data), " "+body) }
 	for _, pause := range dataPauses {
 		flow.send(FlagACK, flow.last.Seq+1, []byte(body))
-		answer, err := flow.await(pause, func(packet Packet) bool {
-			_, answered, _ := strings.Cut(string(packet.Data), " ")
-			return answered == body
-		})
-		if errors.Is(err, ErrBroken) {
-			return "", err
+		answer, err := flow.await(pause, func(packet Packet) bool { return taken(packet) || answered(packet) })
+		if err == nil && !answered(answer) {
+			answer, err = flow.await(answerWait, answered)
 		}
-		if err == nil {
-			flow.last = answer
-			flow.seq += uint32(len(body))
-			server, _, _ := strings.Cut(string(answer.Data), " ")
-			return server, nil
+		switch {
+		case errors.Is(err, ErrBroken):
+			return "", err
+		case err == nil:
+			return flow.end(answer, body)
 		}
 	}
 	return "", ErrDeadline
 }
 
+// end takes the answer of a request.
+func (flow *Flow) end(answer Packet, body string) (string, error) {
+	flow.last = answer
+	flow.seq += uint32(len(body))
+	server, _, _ := strings.Cut(string(answer.Data), " ")
+	if server, shed := strings.CutPrefix(server, shedMark); shed {
+		return server, ErrShed
+	}
+	return server, nil
+}
+
 // Close ends the flow.
 func (flow *Flow) Close() { flow.send(FlagFIN|FlagACK, flow.last.Seq+1, nil) }
 
@@ -155,6 +183,9 @@
 		Destination: flow.target.Addr().As4(), DestinationPort: flow.target.Port(),
 	}
 	if node, found := flow.client.router.Pick(packet); found {
+		if !slices.Contains(flow.via, node) {
+			flow.via = append(flow.via, node)
+		}
 		_, _ = flow.client.socket.WriteToUDPAddrPort(packet.Encode(flow.client.key), node)
 	}
 }
--- /dev/null
+++ b/internal/standin/echonet/work_test.go
@@ -0,0 +1,80 @@
+package echonet
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// pass hands the packets of clients to a back end, as a balancer does.
+func pass(t *testing.T, from, backend string) {
+	socket, err := listen(netip.MustParseAddrPort(from))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = socket.Close() })
+	target := netip.MustParseAddrPort(backend)
+	go func() {
+		buffer := make([]byte, datagramSize)
+		for {
+			size, _, err := socket.ReadFromUDPAddrPort(buffer)
+			if err != nil {
+				return
+			}
+			_, _ = socket.WriteToUDPAddrPort(append(make([]byte, numberSize), buffer[:size]...), target)
+		}
+	}()
+}
+
+// Of twelve requests at once a back end with two slots and a queue of four runs six,
+// one after the other in each slot, and tells the others at once that it has not
+// run them. No request is run twice, however long it waits.
+func TestBackendSheds(t *testing.T) {
+	made, err := StartBackend("i-a1", "lending", netip.MustParseAddrPort("127.105.9.2:8080"), 8173, 1)
+	require.NoError(t, err)
+	t.Cleanup(made.Stop)
+	made.SetLoad(Load{Slots: 2, Queue: 4, Work: 250 * time.Millisecond})
+	pass(t, "127.105.9.3:8173", "127.105.9.2:8080")
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	ready := &http.Server{Addr: "127.105.9.3:8174", ReadHeaderTimeout: time.Second,
+		Handler: http.HandlerFunc(func(response http.ResponseWriter, _ *http.Request) { response.WriteHeader(http.StatusOK) })}
+	go func() { _ = ready.ListenAndServe() }()
+	t.Cleanup(func() { _ = ready.Close() })
+	router := &Router{}
+	router.Add(netip.MustParseAddrPort("127.105.9.3:8173"), "127.105.9.3:8174")
+	go router.Run(ctx)
+	require.Eventually(t, func() bool { return router.In() == 1 }, 5*time.Second, 10*time.Millisecond)
+	client, err := StartClient(netip.MustParseAddrPort("127.105.9.4:8173"), router, 1)
+	require.NoError(t, err)
+	t.Cleanup(client.Stop)
+
+	bodies := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"}
+	outcomes := make([]error, len(bodies))
+	var asking sync.WaitGroup
+	began := time.Now()
+	for index, body := range bodies {
+		flow, err := client.Open(netip.MustParseAddrPort("198.18.0.1:443"))
+		require.NoError(t, err)
+		asking.Go(func() {
+			server, err := flow.Request(body)
+			outcomes[index] = err
+			require.Equal(t, "lending/i-a1", server)
+		})
+	}
+	asking.Wait()
+	require.Greater(t, time.Since(began), 700*time.Millisecond)
+	runs, _ := made.Record()
+	require.Len(t, runs, 6)
+	for index, body := range bodies {
+		if outcomes[index] == nil {
+			require.Equal(t, 1, runs[body])
+			continue
+		}
+		require.ErrorIs(t, outcomes[index], ErrShed)
+		require.Zero(t, runs[body])
+	}
+}
--- a/internal/standin/metadata/metadata.go
+++ b/internal/standin/metadata/metadata.go
@@ -4,7 +4,9 @@
 package metadata
 
 import (
+	"cmp"
 	"encoding/json"
+	"net"
 	"net/http"
 	"sort"
 	"strconv"
@@ -23,6 +25,9 @@
 	Throttled bool
 	// Delay holds back every answer.
 	Delay time.Duration
+	// LateWrites holds back calls that write. They are done all the same, whether
+	// their caller waits or not.
+	LateWrites time.Duration
 }
 
 // Item is one key, or one event on it.
@@ -48,7 +53,9 @@
 	lengths   map[uint64]time.Duration
 	changed   chan struct{}
 	faults    Faults
-	calls     map[string]int
+	// callers are the faults for callers from one IP.
+	callers map[string]Faults
+	calls   map[string]int
 }
 
 // New makes an empty store whose ranges come in pages of a size.
@@ -59,6 +66,7 @@
 		leases:   make(map[uint64]time.Time),
 		lengths:  make(map[uint64]time.Duration),
 		changed:  make(chan struct{}),
+		callers:  make(map[string]Faults),
 		calls:    make(map[string]int),
 	}
 }
@@ -71,6 +79,19 @@
 	server.wake()
 }
 
+// SetFaultsFor switches faults on and off for the callers from an IP.
+func (server *Server) SetFaultsFor(caller string, faults Faults) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.callers[caller] = faults
+}
+
+// faultsOf returns the faults of a call: those for its caller before those for all.
+func (server *Server) faultsOf(request *http.Request) Faults {
+	caller, _, _ := net.SplitHostPort(request.RemoteAddr)
+	return cmp.Or(server.callers[caller], server.faults)
+}
+
 // Calls returns the number of calls by path.
 func (server *Server) Calls() map[string]int {
 	server.mutex.Lock()
@@ -148,7 +169,7 @@
 func (server *Server) guard(next http.HandlerFunc) http.HandlerFunc {
 	return func(response http.ResponseWriter, request *http.Request) {
 		server.mutex.Lock()
-		faults := server.faults
+		faults := server.faultsOf(request)
 		path := strings.TrimPrefix(request.URL.Path, "/api/")
 		name, _, _ := strings.Cut(path, "/")
 		server.calls[name]++
@@ -166,6 +187,9 @@
 			return
 		}
 		time.Sleep(faults.Delay)
+		if request.Method != http.MethodGet {
+			time.Sleep(faults.LateWrites)
+		}
 		next(response, request)
 	}
 }
