Soak: plans that can be replayed and made smaller; silent connections, zones, late writes, settings, bursts

The plan is made whole from the seed before the start, is printed, kept and played again from a file. Harm is judged by machine as the users' rules have it: a balancer that was disturbed excuses only the attempts whose packets it was sent, where any disturbance excused all attempts before. New rules, each with a history that breaks it: a refused first packet reached no back end; a request runs once at most, and not if it was shed or refused; after a burst all are served. A refusal in calm is excused by a death in the last 6 s only; any death before excused it for good.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all help build demo test check unit model long bench generate lab fuzz setup-model soak soak-regressions
+.PHONY: all help build demo test check unit model long bench generate lab fuzz setup-model soak soak-regressions soak-shrink
 
 # all builds the programs.
 all: build
@@ -74,16 +74,21 @@
 
 # SOAK_MINUTES is how many times soak runs.
 SOAK_MINUTES ?= 5
-# soak runs real processes under random faults, a fresh seed each minute.
+# What soaks keep: plan and report, and on a breach logs and story.
+SOAK_KEEP ?= $(CURDIR)/target/soak
+SOAK := INDIGOBARROW_BIN=$(CURDIR)/$(BIN) INDIGOBARROW_SOAK_KEEP=$(SOAK_KEEP) $(GO) test -count=1 -timeout 90m
+# soak runs real processes under random faults, a fresh seed each minute; see docs/operators/soak.md.
 soak: build
 	@for minute in $$(seq $(SOAK_MINUTES)); do \
-		INDIGOBARROW_BIN=$(CURDIR)/$(BIN) INDIGOBARROW_SOAK_SECONDS=45 INDIGOBARROW_SOAK_SEED=$$(date +%s) \
-		$(GO) test -count=1 -run TestSoak -v ./test/e2e/ || exit 1; \
+		INDIGOBARROW_SOAK_SECONDS=45 INDIGOBARROW_SOAK_SEED=$$(date +%s) $(SOAK) -run '^TestSoak$$' -v ./test/e2e/ || exit 1; \
 	done
 
-# soak-regressions replays the seeds that once failed.
+# soak-regressions replays the plans that once failed.
 soak-regressions: build
-	@grep -v '^#' test/soak/seeds.txt | while read -r seed seconds cause; do \
-		INDIGOBARROW_BIN=$(CURDIR)/$(BIN) INDIGOBARROW_SOAK_SECONDS=$$seconds INDIGOBARROW_SOAK_SEED=$$seed \
-		$(GO) test -count=1 -run TestSoak ./test/e2e/ || exit 1; \
+	@grep -v '^#' test/soak/seeds.txt | while read -r plan cause; do \
+		INDIGOBARROW_SOAK_PLAN=$(CURDIR)/test/soak/plans/$$plan.plan $(SOAK) -run '^TestSoak$$' ./test/e2e/ || exit 1; \
 	done
+
+# soak-shrink makes the failing plan in the file PLAN smaller, in place.
+soak-shrink: build
+	INDIGOBARROW_SOAK_SHRINK=$(abspath $(PLAN)) $(SOAK) -run TestSoakShrink -v ./test/e2e/
--- a/test/e2e/balancer_test.go
+++ b/test/e2e/balancer_test.go
@@ -120,18 +120,22 @@
 	site.store.Remove("servers/" + id)
 }
 
-// configure writes a configuration. Each route is "name host port pool weight
-// [pool weight]".
+// configure writes a configuration. Each route is "name host port pool", and its
+// priority and the target of its latency in milliseconds where those matter.
 func (site *site) configure(routes ...string) {
 	site.version += 2
 	var rows []map[string]any
 	for _, route := range routes {
 		var name, host, pool string
-		var port int
-		_, err := fmt.Sscan(route, &name, &host, &port, &pool)
-		require.NoError(site.t, err)
-		rows = append(rows, map[string]any{"name": name, "host": host, "prefix": fmt.Sprintf("/%d/", port),
-			"kind": "idempotent", "timeout_ms": 2000, "backend_pool": pool})
+		var port, priority, target int
+		read, err := fmt.Sscan(route, &name, &host, &port, &pool, &priority, &target)
+		require.GreaterOrEqual(site.t, read, 4, err)
+		row := map[string]any{"name": name, "host": host, "prefix": fmt.Sprintf("/%d/", port),
+			"kind": "idempotent", "timeout_ms": 2000, "backend_pool": pool}
+		if target > 0 {
+			row["priority"], row["target_ms"] = priority, target
+		}
+		rows = append(rows, row)
 	}
 	value, _ := json.Marshal(map[string]any{"version": site.version, "routes": rows,
 		"limits": map[string]any{"idle_timeout_ms": 15000}})
@@ -143,7 +147,7 @@
 }
 
 // startBalancerAt starts a balancer that calls the store at an address.
-func (site *site) startBalancerAt(zone, store string) *process {
+func (site *site) startBalancerAt(zone, store string, arguments ...string) *process {
 	site.started++
 	name := fmt.Sprintf("edge-%s-%d", zone, site.started)
 	host := site.ip(1, site.started)
@@ -155,15 +159,15 @@
 		name, zone, host, clientPort, host, peer, store, strings.Join(site.seeds, ","))
 	path := filepath.Join(site.dir, name+".yaml")
 	require.NoError(site.t, os.WriteFile(path, []byte(content), 0o600))
-	started := site.start(name, "balancer", "--settings", path)
+	started := site.start(name, "balancer", append([]string{"--settings", path}, arguments...)...)
 	site.nodes[name] = started
 	site.router.Add(netip.MustParseAddrPort(fmt.Sprintf("%s:%d", host, clientPort)), host+":8167")
 	return started
 }
 
-// restart starts a balancer that was killed again, with its settings.
+// restart starts a balancer that was killed again, as it was.
 func (site *site) restart(killed *process) *process {
-	return site.start(killed.name, "balancer", "--settings", filepath.Join(site.dir, killed.name+".yaml"))
+	return site.start(killed.name, "balancer", killed.command.Args[1:]...)
 }
 
 func (site *site) waitIn(count int) {
--- a/test/e2e/checker_test.go
+++ b/test/e2e/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -18,6 +19,10 @@
 	calmTime = 4 * time.Second
 	// heldBound is how long a request may take in calm.
 	heldBound = time.Second
+	// burstBound is after how long all are served as before a burst.
+	burstBound = 2 * time.Second
+	// deathBound is for how long the death of a back end may cost new flows.
+	deathBound = 6 * time.Second
 )
 
 // outcome is how a flow's opening or a request on it ended.
@@ -28,6 +33,8 @@
 	outcomeRefused
 	outcomeBroken
 	outcomeDeadline
+	// outcomeShed: the back end said that it has not run the request.
+	outcomeShed
 )
 
 // attempt is one opening with its first request, or a later request.
@@ -39,6 +46,13 @@
 	result outcome
 	// server is "pool/id" of who answered, earlier that of the flow before.
 	server, earlier string
+	// port is the client's port of the flow, flow its name in the logs, body the
+	// request's bytes.
+	port uint16
+	flow string
+	body string
+	// via are the balancers that its packets were sent to, by their places.
+	via []int
 }
 
 // history is all that the checker judges.
@@ -51,7 +65,22 @@
 	// ended.
 	leaving, dead map[string]time.Time
 	// troubles are the spans of faults of the store or of balancers.
-	troubles []span
+	troubles []trouble
+	// bursts are when more was asked of some routes than their back ends can do.
+	bursts  []span
+	crowded map[string]bool
+	// runs tells how often each request has run, took of which clients' ports a
+	// back end took first packets.
+	runs map[string]int
+	took map[uint16]bool
+	// complaints are what was found broken while the soak ran.
+	complaints []string
+}
+
+// trouble is a fault of balancers, or of the store if none are named.
+type trouble struct {
+	span
+	places []int
 }
 
 type span struct {
@@ -63,27 +92,57 @@
 	span
 }
 
-// calm tells whether nothing disturbed the time from calmTime before.
-func (history *history) calm(from, until time.Time) bool {
+// calm tells whether the store and some balancers were in touch from one time
+// until another: nothing disturbed them then or in calmTime before.
+func (history *history) calm(from, until time.Time, places []int) bool {
 	for _, trouble := range history.troubles {
-		if trouble.from.Before(until) && trouble.until.Add(calmTime).After(from) {
+		concerns := len(trouble.places) == 0 || slices.ContainsFunc(trouble.places, func(place int) bool { return slices.Contains(places, place) })
+		if concerns && trouble.from.Before(until) && trouble.until.Add(calmTime).After(from) {
 			return false
 		}
 	}
 	return true
 }
 
+// crowd tells whether an attempt falls into a burst on its route, or into what a
+// burst may cost after it.
+func (history *history) crowd(attempt attempt) bool {
+	return history.crowded[attempt.route] && slices.ContainsFunc(history.bursts, func(burst span) bool {
+		return attempt.ended.After(burst.from) && attempt.at.Before(burst.until.Add(burstBound))
+	})
+}
+
+// bereft tells whether a back end died a little before an attempt or during it.
+func (history *history) bereft(attempt attempt) bool {
+	for _, died := range history.dead {
+		if died.Before(attempt.ended) && died.Add(deathBound).After(attempt.at) {
+			return true
+		}
+	}
+	return false
+}
+
 // check returns the promises that were broken, in words.
 func (history *history) check() []string {
+	broken := slices.Clone(history.complaints)
+	for _, judged := range history.attempts {
+		for _, complaint := range history.judge(judged) {
+			broken = append(broken, fmt.Sprintf("%s: %+v", complaint, judged))
+		}
+	}
+	return broken
+}
+
+// judge returns the promises that were broken in one attempt.
+func (history *history) judge(judged attempt) []string {
 	var broken []string
 	rules := []func(attempt) string{
 		history.checkPool, history.checkFlow, history.checkDrain, history.checkConfiguration, history.checkRefusal, history.checkHeld,
+		history.checkUntouched, history.checkOnce, history.checkBurst,
 	}
-	for _, judged := range history.attempts {
-		for _, rule := range rules {
-			if complaint := rule(judged); complaint != "" {
-				broken = append(broken, fmt.Sprintf("%s: %+v", complaint, judged))
-			}
+	for _, rule := range rules {
+		if complaint := rule(judged); complaint != "" {
+			broken = append(broken, complaint)
 		}
 	}
 	return broken
@@ -128,7 +187,7 @@
 func (history *history) checkDrain(attempt attempt) string {
 	left, leaving := history.leaving[attempt.server]
 	late := leaving && attempt.at.After(left.Add(drainBound))
-	if attempt.opens && attempt.result == outcomeAnswered && late && history.calm(left, attempt.ended) {
+	if attempt.opens && attempt.result == outcomeAnswered && late && history.calm(left, attempt.ended, attempt.via) {
 		return "a new flow went to a leaving back end"
 	}
 	return ""
@@ -140,24 +199,60 @@
 	}
 	for _, allowed := range history.pools[attempt.route] {
 		settled := attempt.at.After(allowed.from.Add(configBound)) && (allowed.until.IsZero() || attempt.ended.Before(allowed.until))
-		if settled && allowed.pool != poolOf(attempt.server) && history.calm(allowed.from, attempt.ended) {
+		if settled && allowed.pool != poolOf(attempt.server) && history.calm(allowed.from, attempt.ended, attempt.via) {
 			return "a new flow followed an older configuration"
 		}
 	}
 	return ""
 }
 
+// checkRefusal: in calm no flow is refused, but where a burst crowds its route.
 func (history *history) checkRefusal(attempt attempt) string {
-	if attempt.opens && attempt.result == outcomeRefused && len(history.dead) == 0 && history.calm(attempt.at, attempt.ended) {
+	if attempt.opens && attempt.result == outcomeRefused && !history.crowd(attempt) && !history.bereft(attempt) &&
+		history.calm(attempt.at, attempt.ended, attempt.via) {
 		return "a new flow was refused in calm"
 	}
 	return ""
 }
 
+// checkUntouched: a first packet that balancers in touch refused has reached no back
+// end.
+func (history *history) checkUntouched(attempt attempt) string {
+	if attempt.opens && attempt.result == outcomeRefused && history.took[attempt.port] && !history.bereft(attempt) &&
+		history.calm(attempt.at, attempt.ended, attempt.via) {
+		return "a refused first packet reached a back end"
+	}
+	return ""
+}
+
+// checkOnce: a request runs once at most, one that was answered once, and one that
+// was refused or shed not at all.
+func (history *history) checkOnce(attempt attempt) string {
+	runs := history.runs[attempt.body]
+	switch {
+	case runs > 1:
+		return "a request ran twice"
+	case runs > 0 && (attempt.result == outcomeShed || attempt.opens && attempt.result == outcomeRefused):
+		return "a request ran that was said not to have run"
+	case runs == 0 && attempt.result == outcomeAnswered && attempt.body != "":
+		return "a request was answered that has not run"
+	}
+	return ""
+}
+
+// checkBurst: after a burst all are served as before it.
+func (history *history) checkBurst(attempt attempt) string {
+	if attempt.result == outcomeAnswered || !history.crowded[attempt.route] || history.crowd(attempt) || history.bereft(attempt) ||
+		!history.calm(attempt.at, attempt.ended, attempt.via) {
+		return ""
+	}
+	return "a request was not served though no burst was near"
+}
+
 // checkHeld: in calm, planned stops and all, a request on an open flow is
 // answered soon.
 func (history *history) checkHeld(attempt attempt) string {
-	if attempt.opens || attempt.ended.Sub(attempt.at) < heldBound || !history.calm(attempt.at, attempt.ended) {
+	if attempt.opens || attempt.ended.Sub(attempt.at) < heldBound || !history.calm(attempt.at, attempt.ended, attempt.via) {
 		return ""
 	}
 	if died, dead := history.dead[attempt.earlier]; dead && died.Before(attempt.ended) {
@@ -197,7 +292,11 @@
 	drained := made(opened(14, "lending/i-1"))
 	drained.leaving["lending/i-1"] = second(10)
 	require.Len(t, drained.check(), 1, "drain")
-	drained.troubles = []span{{from: second(9), until: second(9.5)}}
+	drained.troubles = []trouble{{span: span{from: second(9), until: second(9.5)}, places: []int{2}}}
+	require.Len(t, drained.check(), 1, "another balancer was down just before")
+	drained.attempts[0].via = []int{1, 2}
+	require.Empty(t, drained.check(), "its balancer was down just before")
+	drained.troubles[0].places = nil
 	require.Empty(t, drained.check(), "the store was down just before")
 
 	moved := made(opened(14, "lending/i-1"))
@@ -212,4 +311,43 @@
 	refused := opened(10, "")
 	refused.result = outcomeRefused
 	require.Len(t, made(refused).check(), 1, "refusal")
+	refused.port = 7
+	excusedRefusal := made(refused)
+	excusedRefusal.crowded = map[string]bool{"lending": true}
+	excusedRefusal.bursts = []span{{from: second(7), until: second(9)}}
+	require.Empty(t, excusedRefusal.check(), "refused in a burst")
+	excusedRefusal.took = map[uint16]bool{7: true}
+	require.Len(t, excusedRefusal.check(), 1, "refused, but it reached a back end")
+	excusedRefusal.took = nil
+	excusedRefusal.bursts[0].until = second(7.9)
+	require.Len(t, excusedRefusal.check(), 2, "refused after a burst: new flows in calm, and all are served as before")
+
+	shed := later(outcomeShed, "lending/i-1")
+	shed.body = "page"
+	require.Empty(t, made(shed).check())
+	ran := made(shed)
+	ran.runs = map[string]int{"page": 1}
+	require.Len(t, ran.check(), 1, "shed, but it ran")
+	ran.runs["page"] = 0
+	ran.crowded = map[string]bool{"lending": true}
+	require.Len(t, ran.check(), 1, "shed with no burst near")
+	ran.bursts = []span{{from: second(17), until: second(19)}}
+	require.Empty(t, ran.check(), "shed in a burst")
+	require.Len(t, made(later(outcomeBroken, "")).check(), 1)
+	ran.attempts[0] = later(outcomeBroken, "")
+	require.Len(t, ran.check(), 1, "an open flow was reset in a burst")
+
+	answered := later(outcomeAnswered, "lending/i-1")
+	answered.body = "page"
+	twice := made(answered)
+	twice.runs = map[string]int{"page": 2}
+	require.Len(t, twice.check(), 1, "ran twice")
+	twice.runs["page"] = 0
+	require.Len(t, twice.check(), 1, "answered without a run")
+	twice.runs["page"] = 1
+	require.Empty(t, twice.check())
+
+	told := made()
+	told.complaints = []string{"settings were not taken"}
+	require.Len(t, told.check(), 1)
 }
--- /dev/null
+++ b/test/e2e/plan_test.go
@@ -0,0 +1,114 @@
+package e2e
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// longAway is how long a lost balancer stays away.
+	longAway = 14 * time.Second
+	// A soak goes through cycles: faults of all kinds, then planned work only,
+	// long enough to judge it by its bounds in time.
+	cycleTime = 22 * time.Second
+	stormTime = 6 * time.Second
+)
+
+// event is one fault or piece of planned work.
+type event struct {
+	at   time.Duration
+	step string
+	// place is the balancer that it strikes, or the first of them.
+	place  int
+	length time.Duration
+}
+
+// plan is what happens in a soak, in the order of time.
+type plan []event
+
+// makePlan makes the plan of a seed.
+func makePlan(seed int, length time.Duration) plan {
+	chance := rand.New(rand.NewPCG(uint64(seed), 2))
+	var made plan
+	for at := time.Duration(0); ; {
+		at += time.Duration(200+chance.IntN(1200)) * time.Millisecond
+		if at > length {
+			return made
+		}
+		steps := plannedSteps
+		if at%cycleTime < stormTime {
+			steps = append(append([]string(nil), stormSteps...), plannedSteps...)
+		}
+		next := event{
+			at:     at,
+			step:   steps[chance.IntN(len(steps))],
+			place:  chance.IntN(soakBalancers),
+			length: time.Duration(300+chance.IntN(2500)) * time.Millisecond,
+		}
+		made = append(made, next)
+		if waitedFor[next.step] {
+			at += next.length
+		}
+	}
+}
+
+// String writes a plan, one event a line, as parsePlan reads it.
+func (plan plan) String() string {
+	var text strings.Builder
+	for _, next := range plan {
+		fmt.Fprintln(&text, next.at, next.step, next.place, next.length)
+	}
+	return text.String()
+}
+
+// parsePlan reads a plan. Lines that start with # are passed over.
+func parsePlan(text string) (plan, error) {
+	var read plan
+	for _, line := range strings.Split(text, "\n") {
+		if line = strings.TrimSpace(line); line == "" || line[0] == '#' {
+			continue
+		}
+		var next event
+		var at, length string
+		if _, err := fmt.Sscan(line, &at, &next.step, &next.place, &length); err != nil {
+			return nil, errors.Wrapf(err, "plan: %q", line)
+		}
+		var first, second error
+		next.at, first = time.ParseDuration(at)
+		next.length, second = time.ParseDuration(length)
+		if err := errors.CombineErrors(first, second); err != nil {
+			return nil, errors.Wrapf(err, "plan: %q", line)
+		}
+		if next.place < 0 || next.place >= soakBalancers || soakSteps[next.step] == nil {
+			return nil, errors.Newf("plan: %q: no such balancer or step", line)
+		}
+		read = append(read, next)
+	}
+	return read, nil
+}
+
+// A seed makes the same plan each time, which is read as it was written, and all
+// kinds of events come.
+func TestPlan(t *testing.T) {
+	t.Parallel()
+	made := makePlan(7, 60*time.Minute)
+	require.Equal(t, made, makePlan(7, 60*time.Minute))
+	read, err := parsePlan("# a remark\n" + made.String())
+	require.NoError(t, err)
+	require.Equal(t, made, read)
+	seen := make(map[string]bool)
+	for _, next := range made {
+		seen[next.step] = true
+	}
+	require.Len(t, seen, len(soakSteps))
+	for _, faulty := range []string{"1s kill", "1s nothing 0 1s", "1s kill 5 1s", "1 kill 0 1s"} {
+		_, err := parsePlan(faulty)
+		require.Error(t, err, faulty)
+	}
+}
