Soak: who is in touch is judged at the attempt, as the users' rules have it; breaches in words

A new flow to a leaving back end was excused by any disturbance in the 4 s before the back end began to leave. The rule asks for the store's being in touch at that moment, and the balancer's in the 4 s before the flow. Same for configurations.

--- a/test/e2e/checker_test.go
+++ b/test/e2e/checker_test.go
@@ -73,6 +73,8 @@
 	// back end took first packets.
 	runs map[string]int
 	took map[uint16]bool
+	// began is what times are told from.
+	began time.Time
 	// complaints are what was found broken while the soak ran.
 	complaints []string
 }
@@ -127,12 +129,22 @@
 	broken := slices.Clone(history.complaints)
 	for _, judged := range history.attempts {
 		for _, complaint := range history.judge(judged) {
-			broken = append(broken, fmt.Sprintf("%s: %+v", complaint, judged))
+			broken = append(broken, fmt.Sprintf("%s: %s", complaint, history.tell(judged)))
 		}
 	}
 	return broken
 }
 
+// tell tells an attempt for a reader, with the time since its back end began to leave.
+func (history *history) tell(told attempt) string {
+	text := fmt.Sprintf("route %s, opens %t, at %.2f s, took %s, %s, by %q after %q, flow %s, via balancers %v", told.route, told.opens,
+		told.at.Sub(history.began).Seconds(), told.ended.Sub(told.at), outcomeNames[told.result], told.server, told.earlier, told.flow, told.via)
+	if left, leaving := history.leaving[told.server]; leaving {
+		text += fmt.Sprintf(", %.2f s after it began to leave", told.at.Sub(left).Seconds())
+	}
+	return text
+}
+
 // judge returns the promises that were broken in one attempt.
 func (history *history) judge(judged attempt) []string {
 	var broken []string
@@ -184,10 +196,12 @@
 	return ""
 }
 
+// checkDrain: the store, when a back end began to leave, and who took a new flow were
+// in touch, so that the flow goes elsewhere.
 func (history *history) checkDrain(attempt attempt) string {
 	left, leaving := history.leaving[attempt.server]
 	late := leaving && attempt.at.After(left.Add(drainBound))
-	if attempt.opens && attempt.result == outcomeAnswered && late && history.calm(left, attempt.ended, attempt.via) {
+	if attempt.opens && attempt.result == outcomeAnswered && late && history.calm(left, left, nil) && history.calm(attempt.at, attempt.ended, attempt.via) {
 		return "a new flow went to a leaving back end"
 	}
 	return ""
@@ -199,7 +213,7 @@
 	}
 	for _, allowed := range history.pools[attempt.route] {
 		settled := attempt.at.After(allowed.from.Add(configBound)) && (allowed.until.IsZero() || attempt.ended.Before(allowed.until))
-		if settled && allowed.pool != poolOf(attempt.server) && history.calm(allowed.from, attempt.ended, attempt.via) {
+		if settled && allowed.pool != poolOf(attempt.server) && history.calm(attempt.at, attempt.ended, attempt.via) {
 			return "a new flow followed an older configuration"
 		}
 	}
@@ -292,10 +306,12 @@
 	drained := made(opened(14, "lending/i-1"))
 	drained.leaving["lending/i-1"] = second(10)
 	require.Len(t, drained.check(), 1, "drain")
-	drained.troubles = []trouble{{span: span{from: second(9), until: second(9.5)}, places: []int{2}}}
+	drained.troubles = []trouble{{span: span{from: second(9), until: second(10.5)}, places: []int{2}}}
 	require.Len(t, drained.check(), 1, "another balancer was down just before")
 	drained.attempts[0].via = []int{1, 2}
 	require.Empty(t, drained.check(), "its balancer was down just before")
+	drained.troubles[0].until = second(9.9)
+	require.Len(t, drained.check(), 1, "its balancer had been in touch for long enough")
 	drained.troubles[0].places = nil
 	require.Empty(t, drained.check(), "the store was down just before")
 
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -28,7 +28,8 @@
 // plannedSteps are planned work: no caller may notice any of it.
 var plannedSteps = []string{"stop", "leave", "vanish", "move", "burst", "settings", "settings-faulty"}
 
-// stormSteps are faults.
+// stormSteps are faults. Those of links harm what is open and let new connections pass.
+// A mute link carries no calls, a deaf one no answers.
 var stormSteps = []string{"kill", "lose", "pause", "kill-zone", "pause-zone", "kill-all", "pause-all",
 	"store-busy", "store-silent", "store-throttles", "store-slow", "store-late", "store-compacts",
 	"store-refuses-some", "store-throttles-some",
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -122,6 +122,7 @@
 	}
 	site.waitIn(soakBalancers)
 	made.began = time.Now()
+	made.history.began = made.began
 	return made
 }
 
