--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,5 +1,6 @@
 // Command standin runs the stand-ins of the platform, each as a process of its
-// own: fabric, back end, store, machine list and caller.
+// own: fabric, back end, store, machine list and caller; and for a network with tokens
+// metadata store, back end, and clients with their router.
 package main
 
 import (
@@ -27,9 +28,10 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	command := &cli.Command{
-		Name:     "standin",
-		Usage:    "stand-ins of the platform, for demonstrations and tests",
-		Commands: []*cli.Command{storeCommand(), machinesCommand(), fabricCommand(), backendCommand(), callerCommand()},
+		Name:  "standin",
+		Usage: "stand-ins of the platform, for demonstrations and tests",
+		Commands: []*cli.Command{storeCommand(), machinesCommand(), fabricCommand(), backendCommand(), callerCommand(),
+			metadataCommand(), tokenBackendCommand(), tokenClientCommand()},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
--- /dev/null
+++ b/cmd/standin/tokens.go
@@ -0,0 +1,227 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/indigobarrow/indigobarrow/internal/standin/echonet"
+	"github.com/indigobarrow/indigobarrow/internal/standin/metadata"
+)
+
+// The stand-ins of a network whose packets carry tokens.
+
+const (
+	// sumKey is the key of the packets' sums; all stand-ins of a network share it.
+	sumKey = 4711
+	// beatPause is how often a back end writes its entry.
+	beatPause = 500 * time.Millisecond
+	// servesOn is how long a back end serves on after it has said that it leaves.
+	servesOn = 4 * time.Second
+	// pageSize is how many entries the store gives at once.
+	pageSize = 500
+)
+
+func metadataCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "metadata",
+		Usage: "metadata store; PUT and DELETE /operator/KEY write as operators and back ends do",
+		Flags: []cli.Flag{text("listen", "127.0.0.1:8169", "HTTP address")},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			store := metadata.New(pageSize)
+			mux := http.NewServeMux()
+			mux.Handle("/api/", store.Handler())
+			mux.HandleFunc("PUT /operator/{key...}", func(response http.ResponseWriter, request *http.Request) {
+				value, err := io.ReadAll(request.Body)
+				if err != nil {
+					http.Error(response, err.Error(), http.StatusBadRequest)
+					return
+				}
+				store.Put(request.PathValue("key"), value)
+			})
+			mux.HandleFunc("DELETE /operator/{key...}", func(_ http.ResponseWriter, request *http.Request) {
+				store.Remove(request.PathValue("key"))
+			})
+			return serve(ctx, command.String("listen"), mux)
+		},
+	}
+}
+
+func tokenBackendCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "token-backend",
+		Usage: "a back end that returns tokens; it leaves as planned on SIGTERM",
+		Flags: []cli.Flag{
+			text("id", "i-a1", "id, ending in hexadecimal digits"),
+			text("pool", "lending", "pool"),
+			text("zone", "zone-1", "zone"),
+			text("address", "127.1.0.1:8080", "UDP address"),
+			text("store", "127.0.0.1:8169", "HTTP address of the metadata store"),
+			number("client-port", clientPort, "port at which clients take packets"),
+			number("slots", 2, "requests at a time"),
+			number("queue", 64, "requests that may wait"),
+			duration("work", 2*time.Millisecond, "time of a request"),
+		},
+		Action: runTokenBackend,
+	}
+}
+
+// clientPort is the port of clients and of the balancers' data addresses.
+const clientPort = 8172
+
+func runTokenBackend(ctx context.Context, command *cli.Command) error {
+	address, err := netip.ParseAddrPort(command.String("address"))
+	if err != nil {
+		return errors.Wrap(err, "address")
+	}
+	made, err := echonet.StartBackend(command.String("id"), command.String("pool"), address, uint16(command.Int("client-port")), sumKey)
+	if err != nil {
+		return err
+	}
+	defer made.Stop()
+	made.SetLoad(echonet.Load{Slots: command.Int("slots"), Queue: command.Int("queue"), Work: command.Duration("work")})
+	key := "http://" + command.String("store") + "/operator/servers/" + made.ID
+	entry := map[string]any{"backend_pool": made.Pool, "addr": address.String(), "zone": command.String("zone"),
+		"version": "v1", "capacity": command.Int("slots"), "state": "ready", "warmup_left_ms": 0}
+	beat(ctx, key, entry)
+	entry["state"] = "draining"
+	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), servesOn)
+	defer cancel()
+	beat(leaving, key, entry)
+	return write(http.MethodDelete, key, nil)
+}
+
+// beat writes a back end's entry until the context ends.
+func beat(ctx context.Context, key string, entry map[string]any) {
+	ticker := time.NewTicker(beatPause)
+	defer ticker.Stop()
+	for seq := 0; ; seq++ {
+		entry["seq"] = seq
+		if err := write(http.MethodPut, key, entry); err != nil {
+			fmt.Println("store:", err)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func write(method, url string, body any) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "entry")
+	}
+	request, err := http.NewRequest(method, url, bytes.NewReader(encoded))
+	if err != nil {
+		return errors.Wrap(err, "store")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "store")
+	}
+	return response.Body.Close()
+}
+
+func tokenClientCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "token-client",
+		Usage: "clients and their router: opens flows, asks on them, and tells what came of it",
+		Flags: []cli.Flag{
+			text("address", fmt.Sprintf("127.3.0.1:%d", clientPort), "UDP address"),
+			text("balancers", "", "balancers as DATA@READINESS addresses, separated by commas"),
+			text("target", "198.18.0.1:443", "the route's address"),
+			number("flows", 20, "flows at a time"),
+			number("requests", 20, "requests on a flow"),
+			duration("interval", 100*time.Millisecond, "time between requests of a flow"),
+			duration("length", 10*time.Second, "how long to go on"),
+		},
+		Action: runTokenClient,
+	}
+}
+
+func runTokenClient(ctx context.Context, command *cli.Command) error {
+	address, err := netip.ParseAddrPort(command.String("address"))
+	if err != nil {
+		return errors.Wrap(err, "address")
+	}
+	target, err := netip.ParseAddrPort(command.String("target"))
+	if err != nil {
+		return errors.Wrap(err, "target")
+	}
+	router := &echonet.Router{}
+	for _, balancer := range strings.Split(command.String("balancers"), ",") {
+		data, readiness, _ := strings.Cut(balancer, "@")
+		parsed, err := netip.ParseAddrPort(data)
+		if err != nil {
+			return errors.Wrap(err, "balancers")
+		}
+		router.Add(parsed, readiness)
+	}
+	ctx, cancel := context.WithTimeout(ctx, command.Duration("length"))
+	defer cancel()
+	go router.Run(ctx)
+	client, err := echonet.StartClient(address, router, sumKey)
+	if err != nil {
+		return err
+	}
+	defer client.Stop()
+	for router.In() == 0 && ctx.Err() == nil {
+		time.Sleep(beatPause / 10)
+	}
+	asked := &asking{client: client, target: target, requests: command.Int("requests"), interval: command.Duration("interval"),
+		counts: make(map[string]int)}
+	var flows sync.WaitGroup
+	for number := range command.Int("flows") {
+		flows.Go(func() { asked.run(ctx, number) })
+	}
+	flows.Wait()
+	return json.NewEncoder(command.Root().Writer).Encode(asked.counts)
+}
+
+// asking is what the clients do, and what came of it.
+type asking struct {
+	client   *echonet.Client
+	target   netip.AddrPort
+	requests int
+	interval time.Duration
+	mutex    sync.Mutex
+	counts   map[string]int
+}
+
+// run opens one flow after the other, with an id in each request, which balancers
+// log.
+func (a *asking) run(ctx context.Context, number int) {
+	for turn := 0; ctx.Err() == nil; turn++ {
+		flow, err := a.client.Open(a.target)
+		a.note("flows opened", "flows not opened", err)
+		for request := 0; err == nil && request < a.requests && ctx.Err() == nil; request++ {
+			var server string
+			server, err = flow.Request(fmt.Sprintf("GET / HTTP/1.1\r\nX-Attempt-Id: %d-%d-%d\r\n\r\n", number, turn, request))
+			a.note("answered by "+server, "requests failed", err)
+			time.Sleep(a.interval)
+		}
+		flow.Close()
+	}
+}
+
+func (a *asking) note(good, bad string, err error) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if err != nil {
+		a.counts[bad+": "+err.Error()]++
+		return
+	}
+	a.counts[good]++
+}
