Soak: settings change only while no balancer is away, so that one change is awaited at a time

Faulty files are of both kinds now, cut in half and of another zone; the length in whole milliseconds was always even in nanoseconds.

--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -235,6 +235,9 @@
 // changeSettings changes what a running balancer takes: the level of its log and
 // the order of its seeds. Every other time it is told so.
 func (soak *soak) changeSettings(place int, length time.Duration) {
+	if !soak.away.CompareAndSwap(false, true) {
+		return
+	}
 	path, content := soak.settingsFile(place)
 	changed := strings.Replace(content, "log_level: debug", "log_level: info", 1)
 	if changed == content {
@@ -243,7 +246,10 @@
 	skipped := soak.logSize(place)
 	soak.write(path, changed)
 	soak.tell(place, length)
-	soak.faults.Go(func() { soak.awaitLine(place, skipped, "Settings: in force.") })
+	soak.faults.Go(func() {
+		soak.awaitLine(place, skipped, "Settings: in force.")
+		soak.away.Store(false)
+	})
 }
 
 // breakSettings writes a file that a running balancer must refuse, and then the
@@ -254,7 +260,7 @@
 	}
 	path, content := soak.settingsFile(place)
 	faulty := content[:len(content)/2]
-	if length%2 == 0 {
+	if length/(2*time.Millisecond)%2 == 0 {
 		faulty = strings.Replace(content, "zone: ", "zone: other-", 1)
 	}
 	skipped := soak.logSize(place)
@@ -272,7 +278,7 @@
 }
 
 func (soak *soak) tell(place int, length time.Duration) {
-	if length%(2*time.Millisecond) == 0 && !soak.away.Load() {
+	if length%(2*time.Millisecond) == 0 {
 		_ = soak.processes[place].command.Process.Signal(syscall.SIGHUP)
 	}
 }
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -62,7 +62,7 @@
 	moved         string
 	began         time.Time
 	faults        sync.WaitGroup
-	// away is set while balancers are down, paused, or have a faulty file.
+	// away is set while balancers are down, paused, or have a changed settings file.
 	away     atomic.Bool
 	bursting atomic.Bool
 }
