--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -21,6 +21,8 @@
 	slowTime = 250 * time.Millisecond
 	// lateTime is how long a store holds back a write; nobody waits for it so long.
 	lateTime = 1500 * time.Millisecond
+	// refusalTime is for how long the store refuses some balancers.
+	refusalTime = 10 * time.Second
 	// lookTime is within which a balancer takes a changed settings file.
 	lookTime = 3500 * time.Millisecond
 )
@@ -40,7 +42,7 @@
 
 // waitedFor are the steps after whose length the next one begins.
 var waitedFor = map[string]bool{"pause": true, "pause-zone": true, "pause-all": true, "store-busy": true, "store-silent": true,
-	"store-throttles": true, "store-slow": true, "store-late": true, "store-refuses-some": true, "store-throttles-some": true,
+	"store-throttles": true, "store-slow": true, "store-late": true,
 	"peer-link-slow": true, "settings-faulty": true}
 
 // soakSteps are what is done at each step. It is filled at the start, since the
@@ -184,14 +186,15 @@
 	}
 }
 
-// someStep has the store refuse the balancers of a zone.
+// someStep has the store refuse the balancers of a zone, for so long that those who
+// rely on them would miss something.
 func someStep(faults metadata.Faults) func(*soak, event) {
 	return func(soak *soak, next event) {
 		places := zoneOf(next.place)
 		for _, place := range places {
 			soak.store.SetFaultsFor(soak.storeCaller(place), faults)
 		}
-		soak.trouble(places, next.length, func() {
+		soak.trouble(places, refusalTime, func() {
 			for _, place := range places {
 				soak.store.SetFaultsFor(soak.storeCaller(place), metadata.Faults{})
 			}
