--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -51,7 +51,7 @@
 
 func init() {
 	soakSteps = map[string]func(*soak, event){
-		"stop":   func(soak *soak, next event) { soak.end([]int{next.place}, syscall.SIGTERM, next.length/4) },
+		"stop":   func(soak *soak, next event) { soak.end([]int{next.place}, syscall.SIGTERM, next.length) },
 		"leave":  func(soak *soak, _ event) { soak.leave("draining") },
 		"vanish": func(soak *soak, _ event) { soak.leave("vanishing") },
 		"move":   func(soak *soak, _ event) { soak.moveRoute() },
