--- a/test/e2e/checker_test.go
+++ b/test/e2e/checker_test.go
@@ -67,6 +67,8 @@
 	// leaving is when a back end was said to be leaving or gone; dead when it
 	// ended.
 	leaving, dead map[string]time.Time
+	// crashed are the back ends that ended without having left.
+	crashed map[string]bool
 	// troubles are the spans of faults of the store or of balancers.
 	troubles []trouble
 	// silences are when open connections went silent.
@@ -132,10 +134,11 @@
 	})
 }
 
-// bereft tells whether a back end died a little before an attempt or during it.
+// bereft tells whether a back end crashed a little before an attempt or during it.
+// The planned end of one that had left excuses nothing.
 func (history *history) bereft(attempt attempt) bool {
-	for _, died := range history.dead {
-		if died.Before(attempt.ended) && died.Add(deathBound).After(attempt.at) {
+	for server, died := range history.dead {
+		if history.crashed[server] && died.Before(attempt.ended) && died.Add(deathBound).After(attempt.at) {
 			return true
 		}
 	}
@@ -369,6 +372,16 @@
 	excusedRefusal.bursts[0].until = second(7.9)
 	require.Len(t, excusedRefusal.check(), 2, "refused after a burst: new flows in calm, and all are served as before")
 
+	mourned := made(refused)
+	mourned.dead["lending/i-9"] = second(8)
+	require.Len(t, mourned.check(), 1, "refused after the planned end of a back end that had left")
+	mourned.crashed = map[string]bool{"lending/i-9": true}
+	require.Empty(t, mourned.check(), "refused after the crash of a back end")
+	mourned.dead["lending/i-9"] = second(3.9)
+	require.Len(t, mourned.check(), 1, "refused long after a crash")
+	mourned.dead["lending/i-9"] = second(10.2)
+	require.Len(t, mourned.check(), 1, "refused before a crash")
+
 	shed := later(outcomeShed, "lending/i-1")
 	shed.body = "page"
 	require.Empty(t, made(shed).check())
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -361,6 +361,9 @@
 			return
 		}
 		soak.newBackend("lending")
+		soak.record.Lock()
+		soak.history.crashed["lending/"+id] = true
+		soak.record.Unlock()
 		soak.endBackend(id)
 	}
 }
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -106,6 +106,7 @@
 	site := newSite(t, 20+seed%soakNetworks)
 	made := &soak{site: site, plan: chosen, moved: "lending"}
 	made.history = history{pools: make(map[string][]poolSpan), leaving: make(map[string]time.Time), dead: make(map[string]time.Time),
+		crashed: make(map[string]bool),
 		crowded: map[string]bool{"urgent": true, "patient": true}}
 	made.configureRoutes()
 	now := time.Now()
