Soak: histories at the edge of a killed balancer's restart

It excuses the started balancer alone: via it 3.9 s after the start is excused, 4 s after isn't, via another one never.

--- a/test/e2e/checker_test.go
+++ b/test/e2e/checker_test.go
@@ -343,6 +343,16 @@
 	drained.troubles[0].places = nil
 	require.Empty(t, drained.check(), "the store was down just before")
 
+	restarted := made(opened(13.9, "lending/i-1"))
+	restarted.leaving["lending/i-1"] = second(5)
+	restarted.troubles = []trouble{{span: span{from: second(10), until: second(10)}, places: []int{2}}}
+	restarted.attempts[0].via = []int{2}
+	require.Empty(t, restarted.check(), "its balancer was started 3.9 s before")
+	restarted.attempts[0].at = second(14)
+	require.Len(t, restarted.check(), 1, "its balancer was started 4 s before")
+	restarted.attempts[0].at, restarted.attempts[0].via = second(13.9), []int{1}
+	require.Len(t, restarted.check(), 1, "another balancer was started")
+
 	moved := made(opened(14, "lending/i-1"))
 	moved.pools["lending"] = append(moved.pools["lending"], poolSpan{pool: "covers", span: span{from: second(10)}})
 	moved.pools["lending"][0].until = second(10)
