--- a/test/e2e/checker_test.go
+++ b/test/e2e/checker_test.go
@@ -71,8 +71,8 @@
 	crashed map[string]bool
 	// troubles are the spans of faults of the store or of balancers.
 	troubles []trouble
-	// silences are when open connections went silent.
-	silences []time.Time
+	// silences are when open connections of balancers went silent.
+	silences []silence
 	// bursts are when more was asked of some routes than their back ends can do.
 	bursts  []span
 	crowded map[string]bool
@@ -92,6 +92,13 @@
 	places []int
 }
 
+// silence is when the open connections to the store of a balancer, or to it of the
+// others, went silent.
+type silence struct {
+	at    time.Time
+	place int
+}
+
 type span struct {
 	from, until time.Time
 }
@@ -117,9 +124,12 @@
 	return true
 }
 
-// slack is how much later news may come at a time.
-func (history *history) slack(at time.Time) time.Duration {
-	silent := func(silence time.Time) bool { return silence.Before(at) && at.Sub(silence) < calmTime+silenceSlack }
+// slack is how much later news may come at an attempt: that via the balancer whose
+// connections have gone silent.
+func (history *history) slack(attempt attempt) time.Duration {
+	silent := func(silence silence) bool {
+		return slices.Contains(attempt.via, silence.place) && silence.at.Before(attempt.at) && attempt.at.Sub(silence.at) < calmTime+silenceSlack
+	}
 	if slices.ContainsFunc(history.silences, silent) {
 		return silenceSlack
 	}
@@ -221,7 +231,7 @@
 // in touch, so that the flow goes elsewhere.
 func (history *history) checkDrain(attempt attempt) string {
 	left, leaving := history.leaving[attempt.server]
-	late := leaving && attempt.at.After(left.Add(drainBound+history.slack(attempt.at)))
+	late := leaving && attempt.at.After(left.Add(drainBound+history.slack(attempt)))
 	if attempt.opens && attempt.result == outcomeAnswered && late && history.calm(left, left, nil) && history.calm(attempt.at, attempt.ended, attempt.via) {
 		return "a new flow went to a leaving back end"
 	}
@@ -233,7 +243,7 @@
 		return ""
 	}
 	for _, allowed := range history.pools[attempt.route] {
-		settled := attempt.at.After(allowed.from.Add(configBound+history.slack(attempt.at))) && (allowed.until.IsZero() || attempt.ended.Before(allowed.until))
+		settled := attempt.at.After(allowed.from.Add(configBound+history.slack(attempt))) && (allowed.until.IsZero() || attempt.ended.Before(allowed.until))
 		if settled && allowed.pool != poolOf(attempt.server) && history.calm(attempt.at, attempt.ended, attempt.via) {
 			return "a new flow followed an older configuration"
 		}
@@ -329,11 +339,13 @@
 	require.Len(t, drained.check(), 1, "drain")
 	drained.attempts[0].at = second(13.5)
 	require.Len(t, drained.check(), 1)
-	drained.silences = []time.Time{second(9.9)}
+	drained.silences = []silence{{at: second(9.9), place: 2}}
+	require.Len(t, drained.check(), 1, "another balancer's connections had just gone silent")
+	drained.attempts[0].via = []int{2}
 	require.Empty(t, drained.check(), "connections had just gone silent")
 	drained.attempts[0].at = second(14.1)
 	require.Len(t, drained.check(), 1, "connections had gone silent, but longer ago")
-	drained.silences = nil
+	drained.silences, drained.attempts[0].via = nil, nil
 	drained.troubles = []trouble{{span: span{from: second(9), until: second(10.5)}, places: []int{2}}}
 	require.Len(t, drained.check(), 1, "another balancer was down just before")
 	drained.attempts[0].via = []int{1, 2}
@@ -357,7 +369,9 @@
 	moved.pools["lending"] = append(moved.pools["lending"], poolSpan{pool: "covers", span: span{from: second(10)}})
 	moved.pools["lending"][0].until = second(10)
 	require.Len(t, moved.check(), 1, "configuration")
-	moved.silences = []time.Time{second(9.9)}
+	moved.silences = []silence{{at: second(9.9), place: 2}}
+	require.Len(t, moved.check(), 1, "another balancer's connections had just gone silent")
+	moved.attempts[0].via = []int{1, 2}
 	require.Empty(t, moved.check(), "connections had just gone silent")
 	moved.attempts[0].at = second(14.1)
 	require.Len(t, moved.check(), 1, "connections had gone silent, but longer ago")
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -208,7 +208,7 @@
 	proxies[place].silence(ways...)
 	soak.record.Lock()
 	defer soak.record.Unlock()
-	soak.history.silences = append(soak.history.silences, time.Now())
+	soak.history.silences = append(soak.history.silences, silence{at: time.Now(), place: place})
 }
 
 func (soak *soak) reset(proxies []*proxy, place int) {
