Stand-ins: a back end passes over a copy of an older request

Cause: any other sequence number than the latest ran, so an old copy that came late ran again: a false "ran twice". Red before: page and next ran twice.

--- a/internal/standin/echonet/work.go
+++ b/internal/standin/echonet/work.go
@@ -57,9 +57,13 @@
 	return maps.Clone(backend.work.runs), maps.Clone(backend.work.took)
 }
 
-// request takes a request or a copy of one.
+// request takes a request or a copy of one. A copy of an older request comes after its
+// answer and is passed over.
 func (backend *Backend) request(name flowName, packet Packet) {
 	known, found := backend.work.last[name]
+	if found && int32(packet.Seq-known.seq) < 0 {
+		return
+	}
 	if !found || known.seq != packet.Seq {
 		known = &exchange{seq: packet.Seq}
 		backend.work.last[name] = known
--- a/internal/standin/echonet/work_test.go
+++ b/internal/standin/echonet/work_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -78,3 +79,25 @@
 		require.Zero(t, runs[body])
 	}
 }
+
+// A copy of an older request that arrives after a newer one doesn't run again.
+func TestBackendPassesOverOlderCopies(t *testing.T) {
+	t.Parallel()
+	made, err := StartBackend("i-a1", "lending", netip.MustParseAddrPort("127.105.10.2:8080"), 8173, 1)
+	require.NoError(t, err)
+	t.Cleanup(made.Stop)
+	take := func(flags byte, seq uint32, body string) {
+		packet := Packet{Flags: flags, Seq: seq, Source: [4]byte{127, 105, 10, 4}, SourcePort: 40001, Data: []byte(body)}
+		made.take(append(make([]byte, numberSize), packet.Encode(1)...))
+	}
+	first := uint32(math.MaxUint32 - 1)
+	take(FlagSYN, first-1, "")
+	take(FlagACK, first, "page")
+	take(FlagACK, first, "page")
+	take(FlagACK, first+4, "next")
+	take(FlagACK, first, "page")
+	take(FlagACK, first+8, "last")
+	take(FlagACK, first+4, "next")
+	runs, _ := made.Record()
+	require.Equal(t, map[string]int{"page": 1, "next": 1, "last": 1}, runs)
+}
