Stand-ins: a client takes an answer only if all after the server's name is the request's body

Cause: the end of the answer was compared alone, so bytes before the body passed. Red before: the answer "other page" was taken for that to page.

--- a/internal/standin/echonet/client.go
+++ b/internal/standin/echonet/client.go
@@ -127,7 +127,10 @@
 // Request sends one request and returns who answered it, as "pool/id".
 func (flow *Flow) Request(body string) (string, error) {
 	taken := func(packet Packet) bool { return packet.Ack == flow.seq+uint32(len(body)) }
-	answered := func(packet Packet) bool { return strings.HasSuffix(string(packet.Data), " "+body) }
+	answered := func(packet Packet) bool {
+		_, echoed, _ := strings.Cut(string(packet.Data), " ")
+		return echoed == body
+	}
 	for _, pause := range dataPauses {
 		flow.send(FlagACK, flow.last.Seq+1, []byte(body))
 		answer, err := flow.await(pause, func(packet Packet) bool { return taken(packet) || answered(packet) })
--- a/internal/standin/echonet/work_test.go
+++ b/internal/standin/echonet/work_test.go
@@ -101,3 +101,16 @@
 	runs, _ := made.Record()
 	require.Equal(t, map[string]int{"page": 1, "next": 1, "last": 1}, runs)
 }
+
+// An answer with bytes before its request's body isn't taken.
+func TestClientTakesWholeAnswersOnly(t *testing.T) {
+	t.Parallel()
+	from, to := netip.MustParseAddrPort("127.105.10.4:8173"), netip.MustParseAddrPort("198.18.0.1:443")
+	flow := &Flow{client: &Client{address: from, router: &Router{}}, target: to, inbox: make(chan Packet, 4)}
+	flow.inbox <- Packet{Flags: FlagACK, Data: []byte("lending/i-a1 other page")}
+	flow.inbox <- Packet{Flags: FlagACK, Data: []byte("lending/i-a2 page and more")}
+	flow.inbox <- Packet{Flags: FlagACK, Data: []byte("lending/i-a3 page")}
+	server, err := flow.Request("page")
+	require.NoError(t, err)
+	require.Equal(t, "lending/i-a3", server)
+}
