--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -113,9 +113,9 @@
 	for route, pool := range map[string]string{"lending": "lending", "covers": "covers", "moving": "lending", "urgent": "desk", "patient": "desk"} {
 		made.history.pools[route] = []poolSpan{{pool: pool, span: span{from: now}}}
 	}
-	for pool, count := range map[string]int{"lending": soakLending, "covers": soakCovers, "desk": soakDesk} {
-		for range count {
-			made.newBackend(pool)
+	for _, each := range soakPools {
+		for range each.count {
+			made.newBackend(each.pool)
 		}
 	}
 	for place := range soakBalancers {
@@ -160,6 +160,12 @@
 var (
 	soakTargets = map[string]string{"lending": "198.18.0.1", "covers": "198.18.0.2", "moving": "198.18.0.3",
 		"urgent": "198.18.0.4", "patient": "198.18.0.5"}
+	// soakPools are the back ends by their pools, in the order in which they start, so
+	// that the site is the same each time.
+	soakPools = []struct {
+		pool  string
+		count int
+	}{{"lending", soakLending}, {"covers", soakCovers}, {"desk", soakDesk}}
 	soakRoutes = []string{"lending", "covers", "moving", "urgent", "patient"}
 )
 
