Soak: a changed settings file holds its own balancer only, and a planned stop waits for its turn

Now a stop that finds others away, or its own file changed, waits; one waits at a time. The printed plan marks what was skipped, and the number of planned stops that happened is printed. Held by TestHolds.

--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -23,6 +23,8 @@
 	lateTime = 1500 * time.Millisecond
 	// refusalTime is for how long the store refuses some balancers.
 	refusalTime = 10 * time.Second
+	// turnPause is how often a planned stop asks whether it's its turn.
+	turnPause = 50 * time.Millisecond
 	// lookTime is within which a balancer takes a changed settings file.
 	lookTime = 3500 * time.Millisecond
 )
@@ -51,7 +53,7 @@
 
 func init() {
 	soakSteps = map[string]func(*soak, event){
-		"stop":   func(soak *soak, next event) { soak.end([]int{next.place}, syscall.SIGTERM, next.length) },
+		"stop":   func(soak *soak, next event) { soak.stopSoon(next.place, next.length) },
 		"leave":  func(soak *soak, _ event) { soak.leave("draining") },
 		"vanish": func(soak *soak, _ event) { soak.leave("vanishing") },
 		"move":   func(soak *soak, _ event) { soak.moveRoute() },
@@ -132,40 +134,62 @@
 // kill kills balancers, which start again after a time. Those that live must manage
 // without them soon.
 func (soak *soak) kill(places []int, away time.Duration) {
-	if soak.end(places, syscall.SIGKILL, away) {
-		soak.trouble(places, killTime, nil)
+	if !soak.end(places, syscall.SIGKILL, away) {
+		soak.skip()
+		return
 	}
+	soak.trouble(places, killTime, nil)
 }
 
+// stopSoon stops a balancer as planned. If others are away, or its settings file is
+// changed, it waits for its turn, unless one waits already.
+func (soak *soak) stopSoon(place int, away time.Duration) {
+	if !soak.stopping.CompareAndSwap(false, true) {
+		soak.skip()
+		return
+	}
+	soak.faults.Go(func() {
+		for !soak.end([]int{place}, syscall.SIGTERM, away) {
+			time.Sleep(turnPause)
+		}
+		soak.stops.Add(1)
+		soak.stopping.Store(false)
+	})
+}
+
+// skip notes that the step of now isn't done.
+func (soak *soak) skip() { soak.plan[soak.step].skipped = true }
+
 // end ends balancers unless some are away already, and starts them again.
 func (soak *soak) end(places []int, signal syscall.Signal, away time.Duration) bool {
-	if !soak.away.CompareAndSwap(false, true) {
+	if !soak.holds.takeAway(places) {
 		return false
 	}
 	for _, place := range places {
-		require.NoError(soak.t, soak.processes[place].command.Process.Signal(signal))
+		require.NoError(soak.t, soak.process(place).command.Process.Signal(signal))
 	}
 	soak.faults.Go(func() {
 		for _, place := range places {
-			_ = soak.processes[place].command.Wait()
+			_ = soak.process(place).command.Wait()
 		}
 		time.Sleep(away)
 		if signal == syscall.SIGKILL {
 			soak.trouble(places, 0, nil)
 		}
 		for _, place := range places {
-			restarted := soak.restart(soak.processes[place])
+			restarted := soak.restart(soak.process(place))
 			soak.record.Lock()
 			soak.processes[place] = restarted
 			soak.record.Unlock()
 		}
-		soak.away.Store(false)
+		soak.holds.back()
 	})
 	return true
 }
 
 func (soak *soak) pause(places []int, length time.Duration) {
-	if !soak.away.CompareAndSwap(false, true) {
+	if !soak.holds.takeAway(places) {
+		soak.skip()
 		return
 	}
 	for _, place := range places {
@@ -175,7 +199,7 @@
 		for _, place := range places {
 			_ = soak.processes[place].command.Process.Signal(syscall.SIGCONT)
 		}
-		soak.away.Store(false)
+		soak.holds.back()
 	})
 }
 
@@ -232,7 +256,7 @@
 
 // settingsFile is the file of a balancer and what stands in it.
 func (soak *soak) settingsFile(place int) (path, content string) {
-	path = filepath.Join(soak.dir, soak.processes[place].name+".yaml")
+	path = filepath.Join(soak.dir, soak.process(place).name+".yaml")
 	read, err := os.ReadFile(path)
 	require.NoError(soak.t, err)
 	return path, string(read)
@@ -241,7 +265,8 @@
 // changeSettings changes what a running balancer takes: the level of its log and
 // the order of its seeds. Every other time it is told so.
 func (soak *soak) changeSettings(place int, length time.Duration) {
-	if !soak.away.CompareAndSwap(false, true) {
+	if !soak.holds.change(place) {
+		soak.skip()
 		return
 	}
 	path, content := soak.settingsFile(place)
@@ -254,14 +279,15 @@
 	soak.tell(place, length)
 	soak.faults.Go(func() {
 		soak.awaitLine(place, skipped, "Settings: in force.")
-		soak.away.Store(false)
+		soak.holds.changed(place)
 	})
 }
 
 // breakSettings writes a file that a running balancer must refuse, and then the
 // good one again.
 func (soak *soak) breakSettings(place int, length time.Duration) {
-	if !soak.away.CompareAndSwap(false, true) {
+	if !soak.holds.change(place) {
+		soak.skip()
 		return
 	}
 	path, content := soak.settingsFile(place)
@@ -275,7 +301,7 @@
 	soak.faults.Go(func() {
 		soak.awaitLine(place, skipped, "Settings: refused, the old ones stay.")
 		soak.write(path, content)
-		soak.away.Store(false)
+		soak.holds.changed(place)
 	})
 }
 
@@ -285,7 +311,7 @@
 
 func (soak *soak) tell(place int, length time.Duration) {
 	if length%(2*time.Millisecond) == 0 {
-		_ = soak.processes[place].command.Process.Signal(syscall.SIGHUP)
+		_ = soak.process(place).command.Process.Signal(syscall.SIGHUP)
 	}
 }
 
@@ -339,6 +365,7 @@
 func (soak *soak) leave(how string) {
 	id := soak.oldest("lending")
 	if id == "" {
+		soak.skip()
 		return
 	}
 	soak.newBackend("lending")
--- /dev/null
+++ b/test/e2e/holds_test.go
@@ -0,0 +1,71 @@
+package e2e
+
+import (
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// holds tells which balancers are away, that is down or paused, and whose settings
+// file is changed. One step has balancers away at a time; a balancer isn't away while
+// its file is changed. The zero value holds none.
+type holds struct {
+	mutex    sync.Mutex
+	away     []int
+	changing [soakBalancers]bool
+}
+
+// takeAway holds balancers as away, if that may be.
+func (holds *holds) takeAway(places []int) bool {
+	holds.mutex.Lock()
+	defer holds.mutex.Unlock()
+	changing := func(place int) bool { return holds.changing[place] }
+	if holds.away != nil || slices.ContainsFunc(places, changing) {
+		return false
+	}
+	holds.away = places
+	return true
+}
+
+// back ends what takeAway began.
+func (holds *holds) back() {
+	holds.mutex.Lock()
+	defer holds.mutex.Unlock()
+	holds.away = nil
+}
+
+// change holds a balancer as one whose settings file is changed, if that may be.
+func (holds *holds) change(place int) bool {
+	holds.mutex.Lock()
+	defer holds.mutex.Unlock()
+	if holds.changing[place] || slices.Contains(holds.away, place) {
+		return false
+	}
+	holds.changing[place] = true
+	return true
+}
+
+// changed ends what change began.
+func (holds *holds) changed(place int) {
+	holds.mutex.Lock()
+	defer holds.mutex.Unlock()
+	holds.changing[place] = false
+}
+
+// A changed settings file holds its own balancer only.
+func TestHolds(t *testing.T) {
+	t.Parallel()
+	var held holds
+	require.True(t, held.change(2))
+	require.False(t, held.change(2))
+	require.False(t, held.takeAway([]int{1, 2}))
+	require.True(t, held.takeAway([]int{1}), "settings of another balancer change")
+	require.False(t, held.takeAway([]int{3}), "one is away")
+	require.False(t, held.change(1), "it is away")
+	require.True(t, held.change(3), "another is away")
+	held.back()
+	held.changed(2)
+	require.True(t, held.takeAway([]int{1, 2}))
+}
--- a/test/e2e/plan_test.go
+++ b/test/e2e/plan_test.go
@@ -27,6 +27,8 @@
 	// place is the balancer that it strikes, or the first of them.
 	place  int
 	length time.Duration
+	// skipped is set when it was not done, since another step held its balancer.
+	skipped bool
 }
 
 // plan is what happens in a soak, in the order of time.
@@ -58,11 +60,16 @@
 	}
 }
 
-// String writes a plan, one event a line, as parsePlan reads it.
+// String writes a plan, one event a line, as parsePlan reads it; what was skipped is
+// marked.
 func (plan plan) String() string {
 	var text strings.Builder
 	for _, next := range plan {
-		fmt.Fprintln(&text, next.at, next.step, next.place, next.length)
+		fmt.Fprint(&text, next.at, " ", next.step, " ", next.place, " ", next.length)
+		if next.skipped {
+			fmt.Fprint(&text, " # skipped")
+		}
+		fmt.Fprintln(&text)
 	}
 	return text.String()
 }
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -62,9 +62,13 @@
 	moved         string
 	began         time.Time
 	faults        sync.WaitGroup
-	// away is set while balancers are down, paused, or have a changed settings file.
-	away     atomic.Bool
+	// step is the place in the plan of the step of now.
+	step     int
+	holds    holds
 	bursting atomic.Bool
+	// stopping is set while a planned stop waits for its turn; stops counts those done.
+	stopping atomic.Bool
+	stops    atomic.Int64
 }
 
 func soakNumber(variable string, fallback int) int {
@@ -91,8 +95,9 @@
 	for number := range soakClients {
 		callers.Go(func() { soak.call(ctx, number) })
 	}
-	for _, next := range chosen {
+	for step, next := range chosen {
 		time.Sleep(time.Until(soak.began.Add(next.at)))
+		soak.step = step
 		soakSteps[next.step](soak, next)
 	}
 	soak.faults.Wait()
@@ -211,6 +216,7 @@
 // patient route, one request a flow.
 func (soak *soak) burst(length time.Duration) {
 	if !soak.bursting.CompareAndSwap(false, true) {
+		soak.skip()
 		return
 	}
 	now := time.Now()
@@ -300,7 +306,7 @@
 			}
 		}
 	}
-	soak.t.Logf("seed %d: %s; plan:\n%s", seed, soak.counts(), soak.plan)
+	soak.t.Logf("seed %d: %s; %d planned stops; plan:\n%s", seed, soak.counts(), soak.stops.Load(), soak.plan)
 	broken := soak.history.check()
 	soak.keep(seed, broken)
 	require.Empty(soak.t, broken, "broken promises")
