--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/netip"
 	"os"
 	"strconv"
 	"sync"
@@ -11,7 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/indigobarrow/indigobarrow/internal/standin/echonet"
@@ -174,110 +172,6 @@
 	soakRoutes = []string{"lending", "covers", "moving", "urgent", "patient"}
 )
 
-// call opens flows and sends requests on them until the context ends.
-func (soak *soak) call(ctx context.Context, number int) {
-	for turn := 0; ctx.Err() == nil; turn++ {
-		name := soakRoutes[(number+turn)%len(soakRoutes)]
-		flow, server, err := soak.openFlow(name, fmt.Sprintf("%d-%d", number, turn))
-		if err == nil {
-			soak.askOn(ctx, flow, name, server, fmt.Sprintf("%d-%d", number, turn))
-		} else {
-			time.Sleep(burstPause)
-		}
-	}
-}
-
-// openFlow opens a flow with its first request.
-func (soak *soak) openFlow(name, body string) (*echonet.Flow, string, error) {
-	seen := attempt{route: name, opens: true, at: time.Now(), body: body}
-	flow, err := soak.client.Open(soak.target(soakTargets[name], 443))
-	if err == nil {
-		seen.server, err = flow.Request(body)
-	}
-	soak.noteFlow(seen, flow, err)
-	return flow, seen.server, err
-}
-
-func (soak *soak) askOn(ctx context.Context, flow *echonet.Flow, name, server, body string) {
-	for request := range soakRequests {
-		time.Sleep(soakPause)
-		seen := attempt{route: name, at: time.Now(), earlier: server, body: fmt.Sprintf("%s-%d", body, request)}
-		var err error
-		seen.server, err = flow.Request(seen.body)
-		soak.noteFlow(seen, flow, err)
-		if err != nil || ctx.Err() != nil {
-			break
-		}
-	}
-	flow.Close()
-}
-
-// burst asks more of the desk than its back ends can do: two in three callers on the
-// patient route, one request a flow.
-func (soak *soak) burst(length time.Duration) {
-	if !soak.bursting.CompareAndSwap(false, true) {
-		soak.skip()
-		return
-	}
-	now := time.Now()
-	soak.record.Lock()
-	soak.history.bursts = append(soak.history.bursts, span{from: now, until: now.Add(length)})
-	number := len(soak.history.bursts)
-	soak.record.Unlock()
-	soak.faults.Go(func() {
-		var callers sync.WaitGroup
-		for caller := range burstCallers {
-			name := "patient"
-			if caller%3 == 0 {
-				name = "urgent"
-			}
-			callers.Go(func() {
-				for turn := 0; time.Since(now) < length; turn++ {
-					flow, _, err := soak.openFlow(name, fmt.Sprintf("burst-%d-%d-%d", number, caller, turn))
-					if err != nil {
-						time.Sleep(burstPause)
-					}
-					flow.Close()
-				}
-			})
-		}
-		callers.Wait()
-		soak.bursting.Store(false)
-	})
-}
-
-func outcomeOf(err error) outcome {
-	switch {
-	case err == nil:
-		return outcomeAnswered
-	case errors.Is(err, echonet.ErrRefused):
-		return outcomeRefused
-	case errors.Is(err, echonet.ErrBroken):
-		return outcomeBroken
-	case errors.Is(err, echonet.ErrShed):
-		return outcomeShed
-	}
-	return outcomeDeadline
-}
-
-// noteFlow notes the end of an attempt.
-func (soak *soak) noteFlow(seen attempt, flow *echonet.Flow, err error) {
-	seen.ended, seen.result, seen.port = time.Now(), outcomeOf(err), flow.Port()
-	seen.flow = fmt.Sprintf("%s:%d-%s:443", soak.ip(3, 1), seen.port, soakTargets[seen.route])
-	for _, node := range flow.Via() {
-		seen.via = append(seen.via, placeOf(node))
-	}
-	soak.record.Lock()
-	defer soak.record.Unlock()
-	soak.history.attempts = append(soak.history.attempts, seen)
-}
-
-// placeOf is the place of the balancer at an address.
-func placeOf(node netip.AddrPort) int {
-	address := node.Addr().As4()
-	return int(address[3]) - 1
-}
-
 // collect adds what the back ends have seen to the history.
 func (soak *soak) collect() {
 	soak.history.runs, soak.history.took = make(map[string]int), make(map[uint16]bool)
