--- a/Makefile
+++ b/Makefile
@@ -76,17 +76,20 @@
 SOAK_MINUTES ?= 5
 # What soaks keep: plan and report, and on a breach logs and story.
 SOAK_KEEP ?= $(CURDIR)/target/soak
-SOAK := INDIGOBARROW_BIN=$(CURDIR)/$(BIN) INDIGOBARROW_SOAK_KEEP=$(SOAK_KEEP) $(GO) test -count=1 -timeout 90m
+SOAK_RUN := $(GO) test -count=1 -timeout 90m
+SOAK := INDIGOBARROW_BIN=$(CURDIR)/$(BIN) INDIGOBARROW_SOAK_KEEP=$(SOAK_KEEP) $(SOAK_RUN)
 # soak runs real processes under random faults, a fresh seed each minute; see docs/operators/soak.md.
 soak: build
 	@for minute in $$(seq $(SOAK_MINUTES)); do \
 		INDIGOBARROW_SOAK_SECONDS=45 INDIGOBARROW_SOAK_SEED=$$(date +%s) $(SOAK) -run '^TestSoak$$' -v ./test/e2e/ || exit 1; \
 	done
 
-# soak-regressions replays the plans that once failed.
+# soak-regressions replays the plans that once failed; each keeps its report in a folder of its own.
 soak-regressions: build
-	@grep -v '^#' test/soak/seeds.txt | while read -r plan cause; do \
-		INDIGOBARROW_SOAK_PLAN=$(CURDIR)/test/soak/plans/$$plan.plan $(SOAK) -run '^TestSoak$$' ./test/e2e/ || exit 1; \
+	@grep -v '^#' test/soak/seeds.txt | while read -r plan seed cause; do \
+		INDIGOBARROW_BIN=$(CURDIR)/$(BIN) INDIGOBARROW_SOAK_KEEP=$(SOAK_KEEP)/$$plan \
+			INDIGOBARROW_SOAK_PLAN=$(CURDIR)/test/soak/plans/$$plan.plan \
+			$(SOAK_RUN) -run '^TestSoak$$' ./test/e2e/ || exit 1; \
 	done
 
 # soak-shrink makes the failing plan in the file PLAN smaller, in place.
