--- a/internal/balancer/divide.go
+++ b/internal/balancer/divide.go
@@ -13,10 +13,11 @@
 // counts where all others are avoided.
 const leastPart = 0.0005
 
-// dividesFor is how old a picture may be that new flows are divided by. While nothing fails
-// none gets older than 2.3 s; beyond, something does, as a zone that is cut off, and what
-// this balancer sees alone is newer.
-const dividesFor = 3 * time.Second
+// dividesFor is how old a picture may be that new flows are divided by. Told once a second,
+// pictures get older than 3 s now and then without a fault; zones that then went by what they
+// see alone sent their surplus to one that still kept its own: one of four zones was served
+// 0.69 where the others had 0.83 to 0.85.
+const dividesFor = demand.FreshFor
 
 // divide plans the parts of new flows for each zone by the latest picture, and tells
 // whether the table should be made anew.
