Nobody is refused while the picture shows room; a request is a demand once it is whole

Now what waits here counts only while the picture itself shows as many requests as slots, at its scale only where one or more wait here on average, and a request whose packets still come waits for no slot.

--- a/internal/balancer/pressure.go
+++ b/internal/balancer/pressure.go
@@ -13,6 +13,18 @@
 // at a time, so a single look is mostly chance.
 const pressureTime = 300 * time.Millisecond
 
+const (
+	// confirmedAt is the pressure that the picture must show before anybody is refused:
+	// below it the fleet itself counts fewer requests than slots, so some are free. What one
+	// balancer sees, multiplied, is no ground: before the first traffic a zone's part of next
+	// to nothing made pressures of billions of a quiet start, and 409 flows were refused.
+	confirmedAt = 1.0
+	// leastWaiting is how many requests must wait here on average for what waits here to be
+	// taken at the scale of all. With fewer, one more is as much as the whole pool can do;
+	// the picture itself is taken, a second or two late.
+	leastWaiting = 1.0
+)
+
 // pressures follow what waits at this balancer for each pool. A picture is a second or
 // two old, and in that time a burst fills the queues of all back ends; what waits here is
 // known at once. Of the picture is taken which part of all passes here, which changes
@@ -38,7 +50,8 @@
 // on is the pressure on a pool. Routers spread a zone's packets evenly over its
 // balancers, and the picture tells which part of what is asked of the pool the zone's
 // clients ask. It is unknown while the picture is one of less than half of the balancers
-// listed, or while nothing was seen here: those left out may be short of room, or not.
+// listed, or while nothing was seen here: those left out may be short of room, or not. It is
+// none while the picture shows room.
 func (p *pressures) on(pool demand.Pool, own demand.Zone, picture *demand.Picture, listed map[demand.Zone]int) admission.Pressure {
 	balancers := 0
 	for _, count := range listed {
@@ -47,24 +60,40 @@
 	if picture == nil || 2*picture.Balancers < balancers {
 		return admission.Pressure{}
 	}
-	room := 0.0
-	for place, slots := range picture.Room {
-		if place.Pool == pool {
-			room += slots
-		}
-	}
+	waiting, room := whole(pool, picture)
 	part := askedPart(pool, own, picture)
 	if room == 0 || part == 0 {
 		return admission.Pressure{}
 	}
-	waiting := p.waiting[string(pool)] * float64(picture.Zones[own]) / part
 	seenAt := picture.At
 	if p.seenAt.Before(seenAt) {
 		seenAt = p.seenAt
 	}
+	if waiting < confirmedAt*room {
+		return admission.Pressure{SeenAt: seenAt}
+	}
+	scale := float64(picture.Zones[own]) / part
+	if waiting >= leastWaiting*scale {
+		waiting = p.waiting[string(pool)] * scale
+	}
 	return admission.Pressure{Waiting: waiting / room, SeenAt: seenAt}
 }
 
+// whole is how many requests wait at the back ends of a pool, and its room.
+func whole(pool demand.Pool, picture *demand.Picture) (waiting, room float64) {
+	for place, slots := range picture.Room {
+		if place.Pool == pool {
+			room += slots
+		}
+	}
+	for place, load := range picture.Places {
+		if place.Pool == pool {
+			waiting += load.Waiting
+		}
+	}
+	return waiting, room
+}
+
 // askedPart is the part of what is asked of a pool that the clients of a zone ask, by the
 // balancers that the picture has. Others may be gone, and what they carried passes those
 // that are left: to take them for as busy made pressure of a roll of half the machines.
--- a/internal/tokenroute/asked.go
+++ b/internal/tokenroute/asked.go
@@ -101,7 +101,7 @@
 	} else {
 		place.home.asks++
 	}
-	s.asked, s.lost, s.unreached, s.waitsSince = true, false, false, now
+	s.asked, s.lost, s.unreached, s.sending, s.waitsSince = true, false, false, false, now
 	place.begin(s)
 }
 
@@ -135,6 +135,28 @@
 	}
 }
 
+// sentOf is for how long no further packet of a request must have passed for it to be whole:
+// more than a round trip between far clients and back ends, and less than the tightest
+// targets. A back end works on whole requests, and what a narrow link holds up needs no slot:
+// uploads over windows of 200 ms made a pressure of 3 where a half of the slots was in use.
+const sentOf = 50 * time.Millisecond
+
+// sendsOn takes that a further packet of the latest request has passed.
+func (s *flowState) sendsOn(now time.Time) {
+	if s.waits && !s.unreached {
+		s.sending = true
+		s.setUsing(false, now)
+	}
+}
+
+// sent counts a request as a demand once it is whole.
+func (s *flowState) sent(now time.Time) {
+	if s.sending && s.waits && !s.unreached && now.Sub(s.track.passedAt) >= sentOf {
+		s.sending = false
+		s.setUsing(true, now)
+	}
+}
+
 // setUsing counts whether the flow is a demand on its pool and place.
 func (s *flowState) setUsing(using bool, now time.Time) {
 	if s.using == using {
@@ -194,6 +216,7 @@
 			state.release(now)
 			state.lost = true
 		default:
+			state.sent(now)
 			p.begun = append(p.begun, each)
 		}
 	}
--- a/internal/tokenroute/asked_test.go
+++ b/internal/tokenroute/asked_test.go
@@ -292,3 +292,18 @@
 	}
 	require.Len(t, zones, 2, "both zones are chosen")
 }
+
+// An upload whose packets come slowly over a narrow link waits for no slot until it is whole.
+func TestUploadsAreDemandOnceTheyAreWhole(t *testing.T) {
+	table, flows := NewTable(zoned(), options()), NewFlows(mechanism.Set{}).InZone("maadi")
+	for sequence := range 20 {
+		packet := request(1, 2, 1)
+		packet.Sequence += 1200 * uint32(sequence)
+		flows.Decide(table, packet, at(1000+40*sequence))
+	}
+	load := summaryAt(flows, 1780)[lendingIn("maadi")]
+	require.Less(t, load.Waiting, 0.1)
+	flows.Summarize(at(2040))
+	load = summaryAt(flows, 2300)[lendingIn("maadi")]
+	require.InDelta(t, 1, load.Waiting, 0.05, "whole, and not answered")
+}
--- a/internal/tokenroute/liveness.go
+++ b/internal/tokenroute/liveness.go
@@ -134,6 +134,7 @@
 		}
 	default:
 		known.passedAt = now
+		state.sendsOn(now)
 	}
 }
 
--- a/internal/tokenroute/memory.go
+++ b/internal/tokenroute/memory.go
@@ -35,6 +35,8 @@
 	// using is set while the flow counts as a demand on its pool and place, and unreached
 	// once the latest request was repeated.
 	using, unreached bool
+	// sending is set while further packets of the latest request pass.
+	sending bool
 	// lost is set while the latest request was taken for lost and has not been answered.
 	lost bool
 }
