Stepping aside: room for those that are gone, nobody goes by a picture that messages cut, older programs are not heard

Now only the first places go where 64 or more are known, a reply must say that it tells of those that struggle, and a tenth of a zone is left. Three tests, each red before. Left: a zone cut in halves, each of which hears itself only, and zones below ten, where a tenth is nobody.

--- a/internal/aside/aside_test.go
+++ b/internal/aside/aside_test.go
@@ -293,3 +293,35 @@
 	machine.pass(slow, time.Minute)
 	require.Zero(t, machine.left)
 }
+
+// In a zone of many, messages hold a part of those that struggle only: each knows of 64 at
+// most, and the zone seems to have room. All 1,200 of one went.
+func TestLargeZoneKeepsMostThoughMessagesLeaveSomeOut(t *testing.T) {
+	for _, size := range []int{100, 150, 1200} {
+		var picture Picture
+		at := time.Unix(1000, 0)
+		for place := range size {
+			picture.Take(Statement{Name: nameOf(place), Away: true, At: at})
+		}
+		var others []Other
+		for place := range picture.Now(at) {
+			others = append(others, Other{Place: size - 1 - place, Away: false})
+		}
+		away := 0
+		for place := range size {
+			zone := Zone{Place: place, Size: size, Others: others, Heard: picture.Whole()}
+			if zone.mayGo(pictureTime) {
+				away++
+			}
+		}
+		require.LessOrEqual(t, 4*away, size, "the first places only")
+	}
+}
+
+// Two machines of 20 are down: with those aside, half is left in.
+func TestRoomLeavesSomeForThoseThatAreGone(t *testing.T) {
+	for _, size := range []int{10, 15, 20, 30, 60, 1200} {
+		left := size - size/spareOf - Zone{Size: size}.room()
+		require.GreaterOrEqual(t, 2*left, size)
+	}
+}
--- a/internal/aside/picture.go
+++ b/internal/aside/picture.go
@@ -57,3 +57,7 @@
 	})
 	return found[:min(len(found), pictureLimit)]
 }
+
+// Whole tells whether all that struggle may be known: where so many do that messages leave
+// some out, what is known says too little to go by.
+func (p *Picture) Whole() bool { return len(p.statements) < pictureLimit }
--- a/internal/aside/zone.go
+++ b/internal/aside/zone.go
@@ -17,7 +17,8 @@
 	Place, Size int
 	// Others are those of the zone that struggle, as far as is known.
 	Others []Other
-	// Heard is set while others of the zone are heard, so that Others says something.
+	// Heard is set while others of the zone are heard that tell who struggles, and all that
+	// do are known, so that Others says something.
 	Heard bool
 }
 
@@ -28,9 +29,12 @@
 	Away bool
 }
 
+// spareOf: one part in so many of a zone is left for those that are stopped or gone.
+const spareOf = 10
+
 // room is how many may be aside at once: routers that find fewer than half of a zone
 // ready use all of it, so more would help nobody.
-func (z Zone) room() int { return max(z.Size-1, 0) / 2 }
+func (z Zone) room() int { return max(z.Size-1, 0)/2 - z.Size/spareOf }
 
 // mayGo tells whether a balancer that has struggled for a time may step aside. By
 // then its picture shows all that began to struggle as it did. The first places, half
@@ -42,7 +46,7 @@
 	if z.Size < leastZone || struggled < pictureTime || wholeOf*(len(z.Others)+1) > wholeParts*z.Size {
 		return false
 	}
-	always := z.room() / 2
+	always := max(z.Size-1, 0) / 4
 	if z.Place < always {
 		return true
 	}
--- a/internal/balancer/aside.go
+++ b/internal/balancer/aside.go
@@ -61,7 +61,7 @@
 	if !listed {
 		return aside.Zone{} // the others don't count on it
 	}
-	heard := now.Sub(c.aside.heardAt) < pictureAge
+	heard := now.Sub(c.aside.heardAt) < pictureAge && c.aside.picture.Whole()
 	zone := aside.Zone{Place: place, Size: len(c.aside.places), Heard: heard}
 	for _, statement := range c.aside.picture.Now(now) {
 		if other, here := c.aside.places[statement.Name]; here && statement.Name != name {
@@ -89,8 +89,12 @@
 }
 
 // hearStruggling takes statements of another balancer. What is said of this one it
-// knows better.
-func (c *control) hearStruggling(told []*apiv1.Struggling, now time.Time) {
+// knows better. One that tells nothing of the kind, as an older program, is not heard: in a
+// rolling release all of a zone would take its silence for a zone that is well.
+func (c *control) hearStruggling(told []*apiv1.Struggling, tells bool, now time.Time) {
+	if !tells {
+		return
+	}
 	c.aside.heardAt = now
 	for _, each := range told {
 		if each.GetName() == c.balancer.settings.Load().GetName() {
--- a/internal/balancer/aside_test.go
+++ b/internal/balancer/aside_test.go
@@ -91,10 +91,21 @@
 	parent.balancer.settings.Load().Name = "edge-3"
 	now = leaf.open(2*time.Millisecond, 3*time.Second, now)
 	now = leaf.open(80*time.Millisecond, aside.LookInterval, now)
-	parent.hearStruggling(leaf.tellStruggling(now), now)
-	other.hearStruggling(parent.tellStruggling(now.Add(time.Second)), now.Add(time.Second))
+	parent.hearStruggling(leaf.tellStruggling(now), true, now)
+	other.hearStruggling(parent.tellStruggling(now.Add(time.Second)), true, now.Add(time.Second))
 	require.Equal(t, []aside.Other{{Place: 1}}, other.asideZone(now.Add(time.Second)).Others)
-	parent.hearStruggling(other.tellStruggling(now.Add(2*time.Second)), now.Add(2*time.Second))
+	parent.hearStruggling(other.tellStruggling(now.Add(2*time.Second)), true, now.Add(2*time.Second))
 	require.Empty(t, parent.tellStruggling(now.Add(4*time.Second)), "an echo renews nothing")
 	require.Empty(t, other.asideZone(now.Add(4*time.Second)).Others)
 }
+
+// An older program tells nothing of who struggles. In a rolling release its silence is no
+// sign that the zone is well: 15 of 15 went by it.
+func TestOlderProgramsAreNotHeard(t *testing.T) {
+	now := time.Now()
+	control := newAsideControl()
+	control.hearStruggling(nil, false, now)
+	require.False(t, control.asideZone(now).Heard)
+	control.hearStruggling(nil, true, now)
+	require.True(t, control.asideZone(now).Heard)
+}
--- a/internal/balancer/calls.go
+++ b/internal/balancer/calls.go
@@ -115,7 +115,7 @@
 			// as one more that might by chance.
 			request.Findings = encodeFindings(c.findings.here(now))
 			request.TakesFindings = true
-			request.Struggling = c.tellStruggling(now)
+			request.Struggling, request.TellsStruggling = c.tellStruggling(now), true
 		}
 		request.Shown = c.core.Shown(now)
 		request.Silent = c.core.Silent(now)
@@ -145,6 +145,7 @@
 		Findings:        reply.GetFindings(),
 		Demand:          reply.GetDemand(),
 		Struggling:      reply.GetStruggling(),
+		TellsStruggling: reply.GetTellsStruggling(),
 
 		Testimony:             reply.GetTestimony(),
 		TestimonyLatest:       reply.GetTestimonyLatest(),
--- a/internal/balancer/followers.go
+++ b/internal/balancer/followers.go
@@ -22,6 +22,8 @@
 	findings    []*apiv1.BackendFinding
 	demand      *apiv1.DemandReport
 	struggling  []*apiv1.Struggling
+	// tellsStruggling is set when it would tell who struggles.
+	tellsStruggling bool
 	// shown and silent are what it passes on about balancers.
 	shown  []*apiv1.Balancer
 	silent []string
@@ -96,24 +98,25 @@
 			Revision:    request.GetAfter(),
 			ConfirmedAt: now.Add(-age),
 		},
-		after:          request.GetAfter(),
-		takenAt:        now,
-		confirmedAt:    now.Add(-age),
-		until:          now.Add(time.Duration(request.GetWaitMilliseconds()) * time.Millisecond),
-		findings:       request.GetFindings(),
-		demand:         request.GetDemand(),
-		struggling:     request.GetStruggling(),
-		shown:          request.GetShown(),
-		silent:         request.GetSilent(),
-		everything:     request.GetEverything(),
-		withoutChanges: request.GetWithoutChanges(),
-		takesPacked:    request.GetTakesPacked(),
-		takesFindings:  request.GetTakesFindings(),
-		takesTestimony: request.GetTakesTestimony(),
-		testimonyAfter: request.GetTestimonyAfter(),
-		testimonyClock: request.GetTestimonyClock(),
-		reply:          make(chan *apiv1.FollowReply, 1),
-		gone:           ctx.Done(),
+		after:           request.GetAfter(),
+		takenAt:         now,
+		confirmedAt:     now.Add(-age),
+		until:           now.Add(time.Duration(request.GetWaitMilliseconds()) * time.Millisecond),
+		findings:        request.GetFindings(),
+		demand:          request.GetDemand(),
+		struggling:      request.GetStruggling(),
+		tellsStruggling: request.GetTellsStruggling(),
+		shown:           request.GetShown(),
+		silent:          request.GetSilent(),
+		everything:      request.GetEverything(),
+		withoutChanges:  request.GetWithoutChanges(),
+		takesPacked:     request.GetTakesPacked(),
+		takesFindings:   request.GetTakesFindings(),
+		takesTestimony:  request.GetTakesTestimony(),
+		testimonyAfter:  request.GetTestimonyAfter(),
+		testimonyClock:  request.GetTestimonyClock(),
+		reply:           make(chan *apiv1.FollowReply, 1),
+		gone:            ctx.Done(),
 	}
 	select {
 	case c.followers <- asking:
@@ -134,7 +137,7 @@
 	c.core.TakeShown(asking.shown, asking.takenAt)
 	c.core.TakeSilent(asking.silent, asking.takenAt)
 	if asking.takesFindings {
-		c.hearStruggling(asking.struggling, asking.takenAt)
+		c.hearStruggling(asking.struggling, asking.tellsStruggling, asking.takenAt)
 	}
 	if asking.follows() {
 		c.findings.takeFollower(asking.caller.Address, asking.findings, asking.takenAt)
@@ -183,7 +186,7 @@
 	}
 	if asking.takesFindings {
 		reply.Findings = found()
-		reply.Struggling = c.tellStruggling(now)
+		reply.Struggling, reply.TellsStruggling = c.tellStruggling(now), true
 	}
 	if asking.takesTestimony {
 		c.addTestimony(reply, statements, now)
--- a/internal/balancer/learn.go
+++ b/internal/balancer/learn.go
@@ -138,7 +138,7 @@
 	c.core.PeerAnswered(peer, asOf, now)
 	c.core.Learned(news.GetCallers())
 	if peer.Purpose == replication.PurposeFollow && c.core.SharesOrder(peer.Address) {
-		c.hearStruggling(news.GetStruggling(), now)
+		c.hearStruggling(news.GetStruggling(), news.GetTellsStruggling(), now)
 		c.findings.takeParent(news.GetFindings(), now)
 	}
 	if peer.Purpose == replication.PurposeFollow {
