--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -64,7 +64,7 @@
 type Picture struct {
 	// At is when the oldest part of it was seen; zero is never.
 	At time.Time
-	// Balancers is how many balancers see it, and Zones how many of each zone.
+	// Balancers is how many balancers see it, and Zones how many of each zone carry traffic.
 	Balancers int
 	Zones     map[Zone]int
 	Places    map[Place]Load
--- a/internal/demand/own.go
+++ b/internal/demand/own.go
@@ -47,7 +47,9 @@
 func (o *Own) Picture(zone Zone, now time.Time) Picture {
 	made := Picture{At: o.seenAt, Balancers: 1, Zones: map[Zone]int{zone: 1}, Places: o.places}
 	if now.Sub(o.seenAt) > observedFor {
-		made.At, made.Places = now, nil
+		// Others carry what its zone asks: one that is aside, or left out by the routers, would
+		// else make each of them seem to carry less than it does.
+		made.At, made.Places, made.Zones = now, nil, nil
 	}
 	return made
 }
