--- a/internal/replication/fleet_test.go
+++ b/internal/replication/fleet_test.go
@@ -451,7 +451,7 @@
 
 // After a loss of power machines are back some tenths of a second apart. Where the head
 // of a zone was the last, the others waited for its connection, and dropped their
-// clients' packets for 0.5 s (tsavo-nbo-grown, all lose power for 1.5 s).
+// clients' packets for 0.5 s.
 func TestZoneWhoseHeadIsBackLastIsToldByTheNext(t *testing.T) {
 	forSizes(t, func(t *testing.T, count int) {
 		f := settled(t, count)
