--- a/test/e2e/balancer_test.go
+++ b/test/e2e/balancer_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/indigobarrow/indigobarrow/internal/standin/echonet"
@@ -65,19 +66,13 @@
 	t.Cleanup(func() { _ = server.Close() })
 	go made.router.Run(ctx)
 	go made.beat()
-	made.client = made.startClient(1)
+	var err error
+	made.client, err = echonet.StartClient(netip.MustParseAddrPort(base.ip(3, 1)+fmt.Sprintf(":%d", clientPort)), made.router, sumKey)
+	require.NoError(t, err)
+	t.Cleanup(made.client.Stop)
 	return made
 }
 
-// startClient starts a client at an address of its own.
-func (site *site) startClient(host int) *echonet.Client {
-	address := netip.MustParseAddrPort(site.ip(3, host) + fmt.Sprintf(":%d", clientPort))
-	started, err := echonet.StartClient(address, site.router, sumKey)
-	require.NoError(site.t, err)
-	site.t.Cleanup(started.Stop)
-	return started
-}
-
 // beat writes the entries of the back ends, as they do themselves.
 func (site *site) beat() {
 	for seq := 0; site.ctx.Err() == nil; seq++ {
@@ -186,15 +181,10 @@
 
 // open opens flows and returns them with the back end of each.
 func (site *site) open(target netip.AddrPort, count int) ([]*echonet.Flow, []string) {
-	return site.openBy(site.client, target, count)
-}
-
-// openBy opens flows of a client.
-func (site *site) openBy(client *echonet.Client, target netip.AddrPort, count int) ([]*echonet.Flow, []string) {
 	var flows []*echonet.Flow
 	var servers []string
 	for index := range count {
-		flow, err := client.Open(target)
+		flow, err := site.client.Open(target)
 		require.NoError(site.t, err)
 		server, err := flow.Request(fmt.Sprintf("first-%d", index))
 		require.NoError(site.t, err)
@@ -275,6 +265,54 @@
 	site.requireNothingStray()
 }
 
+// A back end falls silent; its entry stays. The clients that wait for it are
+// told well before they give up, and nobody else's flow is touched.
+func TestBalancerTellsTheClientsOfASilentBackend(t *testing.T) {
+	t.Parallel()
+	site, _ := newLendingSite(t, 9)
+	flows, servers := site.open(site.target("198.18.0.1", 443), 60)
+	site.backends["i-a0"].Stop()
+	var waiting, others sync.WaitGroup
+	told := make(chan error, len(flows))
+	done := make(chan struct{})
+	began := time.Now()
+	for index, flow := range flows {
+		if servers[index] == "lending/i-a0" {
+			waiting.Go(func() {
+				_, err := flow.Request("page")
+				told <- err
+			})
+			continue
+		}
+		others.Go(func() { site.keepAsking(flow, servers[index], done) })
+	}
+	waiting.Wait()
+	close(done)
+	others.Wait()
+	close(told)
+	require.NotEmpty(t, told)
+	for err := range told {
+		require.ErrorIs(t, err, echonet.ErrBroken)
+	}
+	require.Less(t, time.Since(began), 2500*time.Millisecond)
+	site.requireNothingStray()
+}
+
+// keepAsking sends requests on a flow and requires that its own back end
+// answers all of them.
+func (site *site) keepAsking(flow *echonet.Flow, server string, done <-chan struct{}) {
+	for number := 0; ; number++ {
+		select {
+		case <-done:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+		answered, err := flow.Request(fmt.Sprintf("page %d", number))
+		assert.NoError(site.t, err)
+		assert.Equal(site.t, server, answered)
+	}
+}
+
 func TestBalancerKilledStoppedAndReplaced(t *testing.T) {
 	t.Parallel()
 	site, started := newLendingSite(t, 3)
