--- a/Makefile
+++ b/Makefile
@@ -86,7 +86,7 @@
 
 # soak-regressions replays the plans that once failed; each keeps its report in a folder of its own.
 soak-regressions: build
-	@grep -v '^#' test/soak/seeds.txt | while read -r plan seed cause; do \
+	@grep -v '^#' test/soak/seeds.txt | while read -r plan seed seconds cause; do \
 		INDIGOBARROW_BIN=$(CURDIR)/$(BIN) INDIGOBARROW_SOAK_KEEP=$(SOAK_KEEP)/$$plan \
 			INDIGOBARROW_SOAK_PLAN=$(CURDIR)/test/soak/plans/$$plan.plan \
 			$(SOAK_RUN) -run '^TestSoak$$' ./test/e2e/ || exit 1; \
