One rule for what is a demand, one follower of what waits, pools of a picture grouped once

Found reading the change again, behaviour as before: - whether a flow is a demand was set at four places by three flags; it is derived at one (recount) - shares and admission smoothed what waits by the same lines twice (followed), and scanned all places of the picture for each pool, the square of the pools four times a second; the picture groups them once (Pools, Whole) - balancersInZone repeated countByZone, two loops summed what is listed (listing.all), asideRank repeated nameHash - dividesFor was FreshFor, asked twice; the room was copied into a picture for each place; Tree.Own had no use - zones.go filtered by hand what slices.DeleteFunc does Tests keep their assertions; fixtures make pictures with WithRoom, as the program does.

--- a/internal/balancer/admission.go
+++ b/internal/balancer/admission.go
@@ -24,7 +24,7 @@
 }
 
 func newGate() gate {
-	return gate{core: admission.NewGate(), pressures: pressures{waiting: make(map[string]float64)}}
+	return gate{core: admission.NewGate(), pressures: pressures{newFollowed()}}
 }
 
 // takeRoutes takes the routes that are in force.
@@ -48,10 +48,12 @@
 	c.gate.pressures.follow(summary)
 	picture := c.demand.picture.Load()
 	zone := demand.Zone(c.balancer.settings.Load().GetZone())
-	demands := make([]admission.Demand, 0, len(c.gate.urgencies))
-	for pool, urgencies := range c.gate.urgencies {
-		pressure := c.gate.pressures.on(demand.Pool(pool), zone, picture, c.listed)
-		demands = append(demands, admission.Demand{Pool: pool, Urgencies: urgencies, Pressure: pressure})
+	var demands []admission.Demand
+	for pool := range picture.Pools() {
+		if urgencies := c.gate.urgencies[string(pool)]; len(urgencies) > 0 {
+			pressure := c.gate.pressures.on(pool, zone, picture, c.listed)
+			demands = append(demands, admission.Demand{Pool: string(pool), Urgencies: urgencies, Pressure: pressure})
+		}
 	}
 	levels := c.gate.core.Step(demands, now)
 	c.tellShort(levels, now)
--- a/internal/balancer/aside.go
+++ b/internal/balancer/aside.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 	"time"
 
@@ -124,8 +123,5 @@
 	}
 }
 
-func asideRank(name string) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte("aside/" + name))
-	return hash.Sum64()
-}
+// asideRank is the place of a balancer in that order.
+func asideRank(name string) uint64 { return nameHash("aside/" + name) }
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -57,7 +57,7 @@
 	demand   demandState
 	aside    stepAside
 	// listed are the balancers of each zone, this one included.
-	listed    map[demand.Zone]int
+	listed    listing
 	gate      gate
 	followers chan *follower
 	// testimonies are calls of followers that tell what they saw of back ends, and
--- a/internal/balancer/demand.go
+++ b/internal/balancer/demand.go
@@ -60,10 +60,7 @@
 
 // tellWhetherWhole logs when the demand of all becomes known, or is known no longer.
 func (c *control) tellWhetherWhole(picture demand.Picture, now time.Time) {
-	listed := 0
-	for _, count := range c.listed {
-		listed += count
-	}
+	listed := c.listed.all()
 	if listed == 0 {
 		return
 	}
--- a/internal/balancer/demand_test.go
+++ b/internal/balancer/demand_test.go
@@ -270,7 +270,7 @@
 	control, now := divided(200, 100, 200, 50)
 	require.True(t, control.divide(now))
 	control.weights(now)
-	require.True(t, control.divide(now.Add(dividesFor+time.Millisecond)))
+	require.True(t, control.divide(now.Add(demand.FreshFor+time.Millisecond)))
 	require.Nil(t, control.observed.planned)
 }
 
--- a/internal/balancer/divide.go
+++ b/internal/balancer/divide.go
@@ -13,12 +13,6 @@
 // counts where all others are avoided.
 const leastPart = 0.0005
 
-// dividesFor is how old a picture may be that new flows are divided by. Told once a second,
-// pictures get older than 3 s now and then without a fault; zones that then went by what they
-// see alone sent their surplus to one that still kept its own: one of four zones was served
-// 0.69 where the others had 0.83 to 0.85.
-const dividesFor = demand.FreshFor
-
 // divide plans the parts of new flows for each zone by the latest picture, and tells
 // whether the table should be made anew.
 func (c *control) divide(now time.Time) bool {
@@ -29,7 +23,7 @@
 	}
 	own := demand.Zone(c.balancer.settings.Load().GetZone())
 	planned := make(map[demand.Pool]map[demand.Zone]float64)
-	for pool := range poolsOf(picture) {
+	for pool := range picture.Pools() {
 		if parts := shares.Among(shares.Zones(picture, pool, own, c.listed), own); parts != nil {
 			planned[pool] = parts
 		}
@@ -42,9 +36,12 @@
 // apart, so three in time are needed.
 const returnTime = 3 * time.Second
 
-// steady tells whether plans may rest on the picture.
+// steady tells whether plans may rest on the picture. Told once a second, pictures get older
+// than 3 s now and then without a fault; zones that then went by what they see alone sent
+// their surplus to one that still kept its own: one of four zones was served 0.69 where the
+// others had 0.83 to 0.85. So they rest on it for all of demand.FreshFor.
 func (c *control) steady(picture *demand.Picture, now time.Time) bool {
-	if !picture.Fresh(now) || picture.Age(now) > dividesFor {
+	if !picture.Fresh(now) {
 		if c.observed.planned != nil || !c.demand.lapsedAt.IsZero() {
 			c.demand.lapsedAt = now
 		}
@@ -57,15 +54,6 @@
 	return true
 }
 
-// poolsOf are the pools that a picture tells of.
-func poolsOf(picture *demand.Picture) map[demand.Pool]bool {
-	found := make(map[demand.Pool]bool)
-	for place := range picture.Places {
-		found[place.Pool] = true
-	}
-	return found
-}
-
 // partWeight is the weight of a pool's back ends in a zone that together take their part
 // of the new flows; the greatest weight is 1.
 func (c *control) partWeight(parts map[demand.Zone]float64, place demand.Place) float64 {
--- a/internal/balancer/learn.go
+++ b/internal/balancer/learn.go
@@ -66,15 +66,27 @@
 	c.balancersSeen = c.known.BalancerChanges()
 	balancers := c.known.Balancers()
 	c.core.SetBalancers(balancers, now)
-	c.observed.balancers = c.balancersInZone(balancers)
 	c.listed = c.countByZone(balancers)
+	c.observed.balancers = c.listed[demand.Zone(c.balancer.settings.Load().GetZone())]
 	c.takePlaces(balancers)
 }
 
+// listing is how many balancers the directory lists in each zone.
+type listing map[demand.Zone]int
+
+// all is how many there are in all zones.
+func (l listing) all() int {
+	sum := 0
+	for _, count := range l {
+		sum += count
+	}
+	return sum
+}
+
 // countByZone counts the balancers of each zone, this one included.
-func (c *control) countByZone(known []*apiv1.Balancer) map[demand.Zone]int {
+func (c *control) countByZone(known []*apiv1.Balancer) listing {
 	settings := c.balancer.settings.Load()
-	counted := map[demand.Zone]int{demand.Zone(settings.GetZone()): 1}
+	counted := listing{demand.Zone(settings.GetZone()): 1}
 	for _, balancer := range known {
 		if balancer.GetName() != settings.GetName() {
 			counted[demand.Zone(balancer.GetZone())]++
@@ -83,18 +95,6 @@
 	return counted
 }
 
-// balancersInZone counts the balancers of this zone, this one included.
-func (c *control) balancersInZone(known []*apiv1.Balancer) int {
-	settings := c.balancer.settings.Load()
-	count := 1
-	for _, balancer := range known {
-		if balancer.GetZone() == settings.GetZone() && balancer.GetName() != settings.GetName() {
-			count++
-		}
-	}
-	return count
-}
-
 func (c *control) pollEnded(news *apiv1.DirectoryNews, now time.Time) {
 	switch {
 	case news.GetHistoryLost():
--- a/internal/balancer/observed.go
+++ b/internal/balancer/observed.go
@@ -27,9 +27,7 @@
 // zone's clients wait at a time. Routers spread a zone's packets evenly over its
 // balancers, so each sees one part in as many.
 type observed struct {
-	seenAt time.Time
-	// waiting is how many wait here, smoothed.
-	waiting map[string]float64
+	followed
 	// zones and remote are what the table in force was made with, by pool: the
 	// back ends, and the share of new flows that goes to other zones.
 	zones  map[string]*poolZones
@@ -49,7 +47,7 @@
 }
 
 func newObserved() observed {
-	return observed{waiting: make(map[string]float64), remote: make(map[string]float64),
+	return observed{followed: newFollowed(), remote: make(map[string]float64),
 		healthWeights: make(map[uint64]float64), balancers: 1}
 }
 
@@ -77,14 +75,11 @@
 		clear(o.waiting)
 		return false
 	}
-	if !summary.At.After(o.seenAt) {
+	if !o.followed.take(summary, demandTime) {
 		return false
 	}
-	part := 1 - math.Exp(-summary.At.Sub(o.seenAt).Seconds()/demandTime.Seconds())
-	o.seenAt = summary.At
 	changed := false
-	for pool, waiting := range summary.Waiting {
-		o.waiting[pool] += part * (waiting - o.waiting[pool])
+	for pool := range summary.Waiting {
 		if zone := o.zones[pool]; zone != nil && !o.divided[pool] {
 			changed = changed || math.Abs(o.remoteShare(pool, zone)-o.remote[pool]) > shareStep
 		}
--- a/internal/balancer/observed_test.go
+++ b/internal/balancer/observed_test.go
@@ -50,8 +50,8 @@
 	remote := directory.BackendEntry{PoolBackend: &apiv1.PoolBackend{Pool: "lending", Zone: "giza"}}
 	control.observeWaiting("lending", 1, now)
 	alone := control.weigher(nil, now)(remote)
-	control.observed.balancers = control.balancersInZone([]*apiv1.Balancer{
-		{Name: "edge-1", Zone: "maadi"}, {Name: "edge-2", Zone: "maadi"}, {Name: "edge-3", Zone: "maadi"}, {Name: "edge-4", Zone: "giza"}})
+	control.observed.balancers = control.countByZone([]*apiv1.Balancer{
+		{Name: "edge-1", Zone: "maadi"}, {Name: "edge-2", Zone: "maadi"}, {Name: "edge-3", Zone: "maadi"}, {Name: "edge-4", Zone: "giza"}})["maadi"]
 	require.Equal(t, 3, control.observed.balancers)
 	require.Greater(t, control.weigher(nil, now)(remote), alone)
 }
--- a/internal/balancer/pressure.go
+++ b/internal/balancer/pressure.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"math"
 	"time"
 
 	"github.com/indigobarrow/indigobarrow/internal/admission"
@@ -31,36 +30,22 @@
 // slowly: with the pressure of the picture itself a burst was refused half a second
 // later, and for a second after its end.
 type pressures struct {
-	waiting map[string]float64
-	seenAt  time.Time
+	followed
 }
 
 // follow follows the requests that wait here.
-func (p *pressures) follow(summary *observe.Summary) {
-	if summary == nil || !summary.At.After(p.seenAt) {
-		return
-	}
-	part := 1 - math.Exp(-summary.At.Sub(p.seenAt).Seconds()/pressureTime.Seconds())
-	p.seenAt = summary.At
-	for pool, waiting := range summary.Waiting {
-		p.waiting[pool] += part * (waiting - p.waiting[pool])
-	}
-}
+func (p *pressures) follow(summary *observe.Summary) { p.take(summary, pressureTime) }
 
 // on is the pressure on a pool. Routers spread a zone's packets evenly over its
 // balancers, and the picture tells which part of what is asked of the pool the zone's
 // clients ask. It is unknown while the picture is one of less than half of the balancers
 // listed, or while nothing was seen here: those left out may be short of room, or not. It is
 // none while the picture shows room.
-func (p *pressures) on(pool demand.Pool, own demand.Zone, picture *demand.Picture, listed map[demand.Zone]int) admission.Pressure {
-	balancers := 0
-	for _, count := range listed {
-		balancers += count
-	}
-	if picture == nil || 2*picture.Balancers < balancers {
+func (p *pressures) on(pool demand.Pool, own demand.Zone, picture *demand.Picture, listed listing) admission.Pressure {
+	if picture == nil || 2*picture.Balancers < listed.all() {
 		return admission.Pressure{}
 	}
-	waiting, room := whole(pool, picture)
+	waiting, room := picture.Whole(pool)
 	part := askedPart(pool, own, picture)
 	if room == 0 || part == 0 {
 		return admission.Pressure{}
@@ -79,21 +64,6 @@
 	return admission.Pressure{Waiting: waiting / room, SeenAt: seenAt}
 }
 
-// whole is how many requests wait at the back ends of a pool, and its room.
-func whole(pool demand.Pool, picture *demand.Picture) (waiting, room float64) {
-	for place, slots := range picture.Room {
-		if place.Pool == pool {
-			room += slots
-		}
-	}
-	for place, load := range picture.Places {
-		if place.Pool == pool {
-			waiting += load.Waiting
-		}
-	}
-	return waiting, room
-}
-
 // askedPart is the part of what is asked of a pool that the clients of a zone ask, by the
 // balancers that the picture has. Others may be gone, and what they carried passes those
 // that are left: to take them for as busy made pressure of a roll of half the machines.
--- a/internal/balancer/pressure_test.go
+++ b/internal/balancer/pressure_test.go
@@ -12,7 +12,7 @@
 
 // seen feeds summaries with the same number of waiting requests.
 func seen(waiting float64, from time.Time) *pressures {
-	made := &pressures{waiting: make(map[string]float64)}
+	made := &pressures{newFollowed()}
 	for step := range 20 {
 		made.follow(&observe.Summary{At: from.Add(time.Duration(step) * 250 * time.Millisecond),
 			Waiting: map[string]float64{"lending": waiting}})
@@ -24,9 +24,9 @@
 // one whose clients ask for the rest.
 func uneven(at time.Time) *demand.Picture {
 	maadi, giza := demand.Place{Pool: "lending", Zone: "maadi"}, demand.Place{Pool: "lending", Zone: "giza"}
-	return &demand.Picture{At: at, Balancers: 4, Zones: map[demand.Zone]int{"maadi": 3, "giza": 1},
-		Places: map[demand.Place]demand.Load{maadi: {Asks: 100, Waiting: 40}, giza: {Asks: 300, Waiting: 40}},
-		Room:   map[demand.Place]float64{maadi: 10, giza: 10}}
+	made := demand.Picture{At: at, Balancers: 4, Zones: map[demand.Zone]int{"maadi": 3, "giza": 1},
+		Places: map[demand.Place]demand.Load{maadi: {Asks: 100, Waiting: 40}, giza: {Asks: 300, Waiting: 40}}}
+	return made.WithRoom(map[demand.Place]float64{maadi: 10, giza: 10})
 }
 
 // Balancers of zones in uneven demand see different parts of it, and must come to the
--- a/internal/balancer/telldemand.go
+++ b/internal/balancer/telldemand.go
@@ -78,8 +78,9 @@
 func (t *tellings) renew(picture demand.Picture, room map[demand.Place]float64, now time.Time) {
 	t.whole, t.seen, t.madeAt = encodePicture(picture, now), picture, now
 	t.pressures = make(map[demand.Place]float64, len(picture.Places))
+	withRoom := picture.WithRoom(room)
 	for place := range picture.Places {
-		t.pressures[place] = picture.WithRoom(room).Pressure(place)
+		t.pressures[place] = withRoom.Pressure(place)
 	}
 	if t.told == nil {
 		t.told = make(map[string]telling)
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -71,6 +71,8 @@
 	// Room is how many requests the back ends of a place that take new flows handle at
 	// once. Each balancer adds it from its own directory.
 	Room map[Place]float64
+	// pools are the places with demand or room of each pool that somebody asks for.
+	pools map[Pool][]Place
 }
 
 // Age is the time since the oldest part was seen.
@@ -98,9 +100,37 @@
 // WithRoom returns the picture with the room of places.
 func (p Picture) WithRoom(room map[Place]float64) *Picture {
 	p.Room = room
+	p.pools = make(map[Pool][]Place)
+	for place := range p.Places {
+		p.pools[place.Pool] = append(p.pools[place.Pool], place)
+	}
+	for place := range room {
+		_, asked := p.Places[place]
+		if places, found := p.pools[place.Pool]; found && !asked {
+			p.pools[place.Pool] = append(places, place)
+		}
+	}
 	return &p
 }
 
+// Pools are the places with demand or room of each pool that somebody asks for, of a picture
+// with its room.
+func (p *Picture) Pools() map[Pool][]Place {
+	if p == nil {
+		return nil
+	}
+	return p.pools
+}
+
+// Whole is how many requests are at the back ends of a pool, and its room.
+func (p *Picture) Whole(pool Pool) (waiting, room float64) {
+	for _, place := range p.pools[pool] {
+		waiting += p.Places[place].Waiting
+		room += p.Room[place]
+	}
+	return waiting, room
+}
+
 // plus adds what other balancers see.
 func (p Picture) plus(other Picture) Picture {
 	joined := Picture{
--- a/internal/demand/tree.go
+++ b/internal/demand/tree.go
@@ -152,9 +152,6 @@
 	return joined
 }
 
-// Own is what this balancer sees itself.
-func (t *Tree) Own() Picture { return t.own }
-
 // Picture is what all balancers see, or, while nobody has told that of late, what this
 // one and those that follow it do.
 func (t *Tree) Picture(now time.Time) Picture {
--- a/internal/shares/among.go
+++ b/internal/shares/among.go
@@ -83,12 +83,11 @@
 	}
 	made := make(map[demand.Zone]Zone)
 	waiting, asks, seen, there := 0.0, 0.0, 0, 0
-	take := func(place demand.Place) {
+	for _, place := range picture.Pools()[pool] {
 		zone := place.Zone
 		counted, all := picture.Zones[zone], max(listed[zone], picture.Zones[zone])
-		_, done := made[zone]
-		if place.Pool != pool || done || counted == 0 && all > 0 {
-			return
+		if counted == 0 && all > 0 {
+			continue
 		}
 		load := picture.Places[place]
 		waiting += load.Waiting
@@ -100,12 +99,6 @@
 		seen, there = seen+counted, there+all
 		made[zone] = Zone{Demand: asked, Slots: picture.Room[place]}
 	}
-	for place := range picture.Places {
-		take(place)
-	}
-	for place := range picture.Room {
-		take(place)
-	}
 	for name, zone := range made {
 		zone.Demand = portion(zone.Demand, asks) * waiting * float64(there) / math.Max(1, float64(seen))
 		made[name] = zone
--- a/internal/shares/among_test.go
+++ b/internal/shares/among_test.go
@@ -85,7 +85,7 @@
 	for zone, slots := range room {
 		made.Room[demand.Place{Pool: "lending", Zone: zone}] = slots
 	}
-	return made
+	return made.WithRoom(made.Room)
 }
 
 func TestZonesOfAPicture(t *testing.T) {
--- a/internal/tokenroute/asked.go
+++ b/internal/tokenroute/asked.go
@@ -130,9 +130,7 @@
 // end it counts on.
 func (s *flowState) unreach(now time.Time) {
 	s.unreached = true
-	if s.load != nil {
-		s.setUsing(false, now)
-	}
+	s.recount(now)
 }
 
 // sentOf is for how long no further packet of a request must have passed for it to be whole:
@@ -143,22 +141,21 @@
 
 // sendsOn takes that a further packet of the latest request has passed.
 func (s *flowState) sendsOn(now time.Time) {
-	if s.waits && !s.unreached {
-		s.sending = true
-		s.setUsing(false, now)
-	}
+	s.sending = s.waits
+	s.recount(now)
 }
 
 // sent counts a request as a demand once it is whole.
 func (s *flowState) sent(now time.Time) {
-	if s.sending && s.waits && !s.unreached && now.Sub(s.track.passedAt) >= sentOf {
+	if s.sending && now.Sub(s.track.passedAt) >= sentOf {
 		s.sending = false
-		s.setUsing(true, now)
+		s.recount(now)
 	}
 }
 
-// setUsing counts whether the flow is a demand on its pool and place.
-func (s *flowState) setUsing(using bool, now time.Time) {
+// recount counts whether the flow is a demand on its pool and place.
+func (s *flowState) recount(now time.Time) {
+	using := s.waits && !s.unreached && !s.sending
 	if s.using == using {
 		return
 	}
--- a/internal/tokenroute/memory.go
+++ b/internal/tokenroute/memory.go
@@ -32,11 +32,10 @@
 	// latest one did.
 	asked      bool
 	waitsSince time.Time
-	// using is set while the flow counts as a demand on its pool and place, and unreached
-	// once the latest request was repeated.
-	using, unreached bool
-	// sending is set while further packets of the latest request pass.
-	sending bool
+	// using is set while the flow counts as a demand on its pool and place: it waits, and
+	// the latest request is neither unreached, which is one that was repeated, nor sending,
+	// with packets that still pass.
+	using, unreached, sending bool
 	// lost is set while the latest request was taken for lost and has not been answered.
 	lost bool
 }
@@ -104,7 +103,7 @@
 	} else {
 		s.load.waiting--
 	}
-	s.setUsing(waits && !s.unreached, now)
+	s.recount(now)
 }
 
 // release takes a flow off the load where it counts.
--- a/internal/tokenroute/zones.go
+++ b/internal/tokenroute/zones.go
@@ -1,6 +1,7 @@
 package tokenroute
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -146,27 +147,16 @@
 
 // add notes a miss; of a back end only the latest one counts.
 func (s *zoneSilence) add(miss zoneMiss) {
-	kept := s.misses[:0]
-	for _, each := range s.misses {
-		if each.backend != miss.backend {
-			kept = append(kept, each)
-		}
-	}
-	s.misses = append(kept, miss)
-	if extra := len(s.misses) - zoneMisses; extra > 0 {
-		s.misses = s.misses[:copy(s.misses, s.misses[extra:])]
+	s.misses = slices.DeleteFunc(s.misses, func(each zoneMiss) bool { return each.backend == miss.backend })
+	s.misses = append(s.misses, miss)
+	if len(s.misses) > zoneMisses {
+		s.misses = slices.Delete(s.misses, 0, 1)
 	}
 }
 
 // forget drops the misses of what was sent up to a time.
 func (s *zoneSilence) forget(until time.Time) {
-	kept := s.misses[:0]
-	for _, each := range s.misses {
-		if each.sentAt.After(until) {
-			kept = append(kept, each)
-		}
-	}
-	s.misses = kept
+	s.misses = slices.DeleteFunc(s.misses, func(each zoneMiss) bool { return !each.sentAt.After(until) })
 }
 
 func latest(one, other time.Time) time.Time {
