--- a/internal/rule/rule.go
+++ b/internal/rule/rule.go
@@ -90,17 +90,11 @@
 // Pick returns the back end for a flow hash, or NoBackend when every weight is
 // 0. It does not allocate.
 func (rule *Rule) Pick(hash uint64) uint32 {
-	return rule.PickExcept(hash, nil)
-}
-
-// PickExcept is Pick among the back ends for which except is false; a nil
-// except excludes none.
-func (rule *Rule) PickExcept(hash uint64, except func(backend uint32) bool) uint32 {
 	best := uint32(NoBackend)
 	var bestScore, bestWeight uint64
 	for index := range rule.candidates {
 		candidate := &rule.candidates[index]
-		if candidate.Weight == 0 || except != nil && except(candidate.Backend) {
+		if candidate.Weight == 0 {
 			continue
 		}
 		score := negativeLogarithm(mix(hash ^ candidate.seed))
--- a/internal/tokenroute/flows.go
+++ b/internal/tokenroute/flows.go
@@ -160,7 +160,7 @@
 func (f *Flows) poolUse(name string) *poolUse {
 	known := f.pools[name]
 	if known == nil {
-		known = &poolUse{name: name}
+		known = &poolUse{}
 		f.pools[name] = known
 	}
 	return known
@@ -188,13 +188,8 @@
 	}
 }
 
-// Next returns the back end for a later packet of a flow whose token names the
-// given back end.
-func (f *Flows) Next(key flow.Key, named *Backend, now time.Time) *Backend {
-	f.turn(now)
-	return f.next(f.memory.find(key), named, now)
-}
-
+// next returns the back end for a later packet of a flow whose token names the given back
+// end. The state is nil where no earlier packet passed here.
 func (f *Flows) next(state *flowState, named *Backend, now time.Time) *Backend {
 	if state == nil {
 		return named
--- a/internal/tokenroute/memory.go
+++ b/internal/tokenroute/memory.go
@@ -67,8 +67,7 @@
 
 // poolUse is what the flows that pass here use of a pool.
 type poolUse struct {
-	name string
-	use  observe.Use
+	use observe.Use
 }
 
 // attach counts a flow at the load of its back end.
