One proxy harms connections, for the soak and for the tests of silent ones

internal/standin/swallow and the soak's proxy were the same program twice; the soak's ways (one direction, delay, reset, an address of its own) are in the stand-in now.

--- a/internal/balancer/silent_test.go
+++ b/internal/balancer/silent_test.go
@@ -96,14 +96,14 @@
 func TestNewsWithinTwoSecondsAfterAllConnectionsGoSilent(t *testing.T) {
 	for name, silence := range map[string]func(reader, follower *member){
 		"all": func(reader, follower *member) {
-			reader.store.Silence()
-			reader.peer.Silence()
-			follower.store.Silence()
-			follower.peer.Silence()
+			reader.store.Silence(swallow.There, swallow.Back)
+			reader.peer.Silence(swallow.There, swallow.Back)
+			follower.store.Silence(swallow.There, swallow.Back)
+			follower.peer.Silence(swallow.There, swallow.Back)
 		},
 		"follower": func(reader, follower *member) {
-			follower.store.Silence()
-			reader.peer.Silence()
+			follower.store.Silence(swallow.There, swallow.Back)
+			reader.peer.Silence(swallow.There, swallow.Back)
 		},
 	} {
 		for _, rest := range []time.Duration{0, 150 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond} {
--- a/internal/balancer/silentpeer_test.go
+++ b/internal/balancer/silentpeer_test.go
@@ -53,7 +53,7 @@
 		request.WaitMilliseconds = uint32(replication.FollowWait.Milliseconds())
 		go child.call(ctx, child.client, peer, request)
 		child.handle(<-messages)
-		proxy.Silence()
+		proxy.Silence(swallow.There, swallow.Back)
 	}
 	require.Equal(t, 2, proxy.Accepted())
 	require.False(t, child.core.Stale(time.Now()))
--- a/internal/standin/swallow/swallow.go
+++ b/internal/standin/swallow/swallow.go
@@ -1,45 +1,66 @@
-// Package swallow is a stand-in for a network that loses connections without a
-// word: a TCP proxy whose open connections can be made silent for good, while new
-// ones work. What is sent on a silent connection is taken and forgotten, and no
-// end of it is told to either side.
+// Package swallow is a stand-in for a network that harms connections without a word: a TCP
+// proxy whose open connections can be made silent for good, in one direction or both, ended
+// or reset, while new ones work. What is sent on a silent connection is taken and forgotten,
+// and no end of it is told to the other side.
 //
 // # Usage
 //
 //	proxy, err := swallow.Start("127.0.0.1:8169")
 //	defer proxy.Close()
 //	dial(proxy.Address())
-//	proxy.Silence()
+//	proxy.Silence(swallow.There, swallow.Back)
 package swallow
 
 import (
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
+)
+
+// Way is a direction of a connection.
+type Way int
+
+// The ways.
+const (
+	// There is from the caller to the target, Back to the caller.
+	There Way = iota
+	Back
 )
 
 // Proxy forwards TCP connections to one address.
 type Proxy struct {
 	listener net.Listener
 	target   string
+	dialer   net.Dialer
 	mutex    sync.Mutex
-	open     []*pair
-	closed   bool
+	// open are the connections ever taken.
+	open   []*link
+	closed bool
+	// delay holds back what passes, in nanoseconds.
+	delay atomic.Int64
 }
 
-// pair is a forwarded connection: that of the caller and that to the target.
-type pair struct {
-	caller, target net.Conn
-	silent         atomic.Bool
+// link is a forwarded connection: that of the caller and that to the target.
+type link struct {
+	ends   [2]net.Conn
+	silent [2]atomic.Bool
 }
 
 // Start forwards from a free port of 127.0.0.1 to a target.
-func Start(target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+func Start(target string) (*Proxy, error) { return StartAt("127.0.0.1:0", target, "") }
+
+// StartAt forwards from an address to a target, which it calls from an IP of its own if one
+// is given.
+func StartAt(address, target, from string) (*Proxy, error) {
+	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
 	made := &Proxy{listener: listener, target: target}
+	if from != "" {
+		made.dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(from)}
+	}
 	go made.accept()
 	return made, nil
 }
@@ -54,42 +75,56 @@
 	return len(p.open)
 }
 
-// Silence makes all connections silent that are open now.
-func (p *Proxy) Silence() {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	for _, each := range p.open {
-		each.silent.Store(true)
-	}
+// Delay holds back what passes from now on.
+func (p *Proxy) Delay(delay time.Duration) { p.delay.Store(int64(delay)) }
+
+// Silence makes the connections silent that are open now, in some directions.
+func (p *Proxy) Silence(ways ...Way) {
+	p.each(func(open *link) {
+		for _, way := range ways {
+			open.silent[way].Store(true)
+		}
+	})
 }
 
-// End ends all connections that are open now, on both sides.
-func (p *Proxy) End() {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	for _, each := range p.open {
-		each.close()
-	}
+// End ends the connections that are open now, on both sides.
+func (p *Proxy) End() { p.each((*link).close) }
+
+// Reset resets the connections that are open now, on both sides.
+func (p *Proxy) Reset() {
+	p.each(func(open *link) {
+		for _, end := range open.ends {
+			_ = end.(*net.TCPConn).SetLinger(0)
+		}
+		open.close()
+	})
 }
 
-// Close ends the proxy and all its connections.
+// Close ends the proxy and resets its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
 	p.mutex.Lock()
-	defer p.mutex.Unlock()
 	p.closed = true
-	for _, each := range p.open {
-		each.close()
+	p.mutex.Unlock()
+	p.Reset()
+}
+
+func (p *Proxy) each(do func(*link)) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, open := range p.open {
+		do(open)
 	}
 }
 
-func (p *pair) close() {
-	_ = p.caller.Close()
-	_ = p.target.Close()
+func (l *link) close() {
+	for _, end := range l.ends {
+		_ = end.Close()
+	}
 }
 
 // add takes a connection, unless the proxy was closed meanwhile.
-func (p *Proxy) add(made *pair) {
+func (p *Proxy) add(made *link) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.closed {
@@ -105,34 +140,45 @@
 		if err != nil {
 			return
 		}
-		target, err := net.Dial("tcp4", p.target)
-		if err != nil {
-			_ = caller.Close()
-			continue
-		}
-		made := &pair{caller: caller, target: target}
-		p.add(made)
-		go made.forward(caller, target)
-		go made.forward(target, caller)
+		go p.connect(caller)
+	}
+}
+
+// connect forwards a connection, which is reset where the target takes none.
+func (p *Proxy) connect(caller net.Conn) {
+	target, err := p.dialer.Dial("tcp4", p.target)
+	if err != nil {
+		_ = caller.(*net.TCPConn).SetLinger(0)
+		_ = caller.Close()
+		return
 	}
+	made := &link{ends: [2]net.Conn{caller, target}}
+	p.add(made)
+	go p.carry(made, There)
+	go p.carry(made, Back)
 }
 
-// forward copies one direction. What a silent connection brings is read and
-// dropped, and its end is not passed on.
-func (p *pair) forward(from io.Reader, to net.Conn) {
-	buffer := make([]byte, 32<<10)
+// carry copies one direction until an end closes, and then closes both. What a silent
+// connection brings is read and dropped, and its end is not passed on.
+func (p *Proxy) carry(carried *link, way Way) {
+	from, to := carried.ends[way], carried.ends[1-way]
+	buffer := make([]byte, 64<<10)
 	for {
 		size, err := from.Read(buffer)
-		switch {
-		case p.silent.Load() && err != nil:
-			return
-		case p.silent.Load():
+		time.Sleep(time.Duration(p.delay.Load()))
+		if carried.silent[way].Load() {
+			if err != nil {
+				return
+			}
 			continue
-		case err != nil:
-			_ = to.Close()
-			return
 		}
-		if _, err := to.Write(buffer[:size]); err != nil {
+		if size > 0 {
+			if _, failure := to.Write(buffer[:size]); failure != nil {
+				err = failure
+			}
+		}
+		if err != nil {
+			carried.close()
 			return
 		}
 	}
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/indigobarrow/indigobarrow/internal/standin/metadata"
+	"github.com/indigobarrow/indigobarrow/internal/standin/swallow"
 )
 
 const (
@@ -76,13 +77,13 @@
 		"store-refuses-some":   someStep(metadata.Faults{Busy: true}),
 		"store-throttles-some": someStep(metadata.Faults{Throttled: true}),
 
-		"store-link-silent": func(soak *soak, next event) { soak.silence(soak.stores, next.place, wayThere, wayBack) },
-		"store-link-deaf":   func(soak *soak, next event) { soak.silence(soak.stores, next.place, wayBack) },
-		"store-link-mute":   func(soak *soak, next event) { soak.silence(soak.stores, next.place, wayThere) },
+		"store-link-silent": func(soak *soak, next event) { soak.silence(soak.stores, next.place, swallow.There, swallow.Back) },
+		"store-link-deaf":   func(soak *soak, next event) { soak.silence(soak.stores, next.place, swallow.Back) },
+		"store-link-mute":   func(soak *soak, next event) { soak.silence(soak.stores, next.place, swallow.There) },
 		"store-link-reset":  func(soak *soak, next event) { soak.reset(soak.stores, next.place) },
-		"peer-link-silent":  func(soak *soak, next event) { soak.silence(soak.peers, next.place, wayThere, wayBack) },
-		"peer-link-deaf":    func(soak *soak, next event) { soak.silence(soak.peers, next.place, wayBack) },
-		"peer-link-mute":    func(soak *soak, next event) { soak.silence(soak.peers, next.place, wayThere) },
+		"peer-link-silent":  func(soak *soak, next event) { soak.silence(soak.peers, next.place, swallow.There, swallow.Back) },
+		"peer-link-deaf":    func(soak *soak, next event) { soak.silence(soak.peers, next.place, swallow.Back) },
+		"peer-link-mute":    func(soak *soak, next event) { soak.silence(soak.peers, next.place, swallow.There) },
 		"peer-link-reset":   func(soak *soak, next event) { soak.reset(soak.peers, next.place) },
 		"peer-link-slow":    func(soak *soak, next event) { soak.slow(next.place, next.length) },
 
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/indigobarrow/indigobarrow/internal/standin/echonet"
+	"github.com/indigobarrow/indigobarrow/internal/standin/swallow"
 )
 
 // The settings of a soak, from the environment: make soak sets them.
@@ -53,7 +54,7 @@
 	processes []*process
 	// stores and peers stand before the store and before each balancer's socket
 	// for the others, by the balancers' places.
-	stores, peers []*proxy
+	stores, peers []*swallow.Proxy
 	record        sync.Mutex
 	history       history
 	numbers       int
