What the store says in a later era is later, whatever number it has

Callers saw: after a drill, new flows went to a back end 3.2 s after it had said that it leaves, and versions of the configuration that were acknowledged were not in force in time, some never.

Cause: the store came back from a copy some seconds old and gave its revisions out again. Whatever has a revision that a balancer had passed was taken for old: entries of the store, whole reads, and what other balancers told.

Why it holds now: the era, which each answer of the store tells, comes before the number in every revision, from where the answer is read on; directory, log of changes, pages, answers between balancers and watches order by it without knowing of it. A watch does not go on in another era, pages of two eras make no whole, a removal by a revision of an earlier era is not sent, and an answer of an era that was left says nothing of what holds. Since a copy shows what was replaced and lacks what is new, what is known stands until it has been written again: configurations for good, back ends and orders for a bounded time. What balancers wrote is written again: lists of the first, and entries whose write was under way.

--- a/cmd/balancer/policy.go
+++ b/cmd/balancer/policy.go
@@ -12,6 +12,7 @@
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/policy"
+	"github.com/indigobarrow/indigobarrow/internal/revision"
 	"github.com/indigobarrow/indigobarrow/platform"
 )
 
@@ -54,7 +55,7 @@
 	sort.Strings(names)
 	for _, name := range names {
 		entry := found[name]
-		fmt.Printf("%s (revision %d)\n  weight: %s\n  leaving: %s\n", name, entry.Revision, entry.Policy.GetWeight(), entry.Policy.GetLeaving())
+		fmt.Printf("%s (revision %s)\n  weight: %s\n  leaving: %s\n", name, revision.Text(entry.Revision), entry.Policy.GetWeight(), entry.Policy.GetLeaving())
 	}
 	return nil
 }
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -104,6 +104,8 @@
 	// confirmedAt is when the store confirmed what is known, in nanoseconds
 	// since the start; 0 is never.
 	confirmedAt atomic.Int64
+	// era is how often the store came back from a copy, as far as is known.
+	era atomic.Uint64
 	// unreadable counts the entries of the store that could not be read.
 	unreadable atomic.Uint64
 	storeCalls storeCalls
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -69,8 +69,10 @@
 	complete    completeAnswers
 	pages       pages
 	polling     bool
-	// write is what is being written to the store about balancers.
-	write replication.Write
+	// write is what is being written to the store about balancers, and writeEra the store's
+	// era, as far as was known, when that began.
+	write    replication.Write
+	writeEra uint64
 	// balancersSeen is the directory's count of changes when the balancers were
 	// last taken.
 	balancersSeen uint64
--- a/internal/balancer/decisionlog.go
+++ b/internal/balancer/decisionlog.go
@@ -7,6 +7,7 @@
 	"math"
 	"time"
 
+	"github.com/indigobarrow/indigobarrow/internal/revision"
 	"github.com/indigobarrow/indigobarrow/internal/tokenroute"
 )
 
@@ -68,7 +69,7 @@
 		attributes = append(attributes, slog.Uint64("token", uint64(packet.Token)))
 	}
 	if table != nil {
-		attributes = append(attributes, slog.Uint64("version", table.Version), slog.Uint64("revision", table.Revision))
+		attributes = append(attributes, slog.Uint64("version", table.Version), slog.Uint64("revision", revision.NumberOf(table.Revision)))
 	}
 	if decision.Reason == tokenroute.ReasonEvacuated {
 		attributes = append(attributes, slog.Any("evacuated", table.Evacuated))
--- a/internal/balancer/learn.go
+++ b/internal/balancer/learn.go
@@ -10,6 +10,7 @@
 	"github.com/indigobarrow/indigobarrow/internal/demand"
 	"github.com/indigobarrow/indigobarrow/internal/events"
 	"github.com/indigobarrow/indigobarrow/internal/replication"
+	"github.com/indigobarrow/indigobarrow/internal/revision"
 )
 
 func (c *control) handle(carried *message.Message) {
@@ -34,7 +35,7 @@
 	case news.GetReported():
 		c.reported(news, now)
 	case news.GetWrite():
-		c.writeEnded(news.GetError() != "", now)
+		c.writeEnded(news.GetError(), now)
 	case news.GetPeer() == "":
 		c.polling = false
 		c.pollEnded(news, now)
@@ -46,21 +47,51 @@
 		return
 	}
 	c.countUnreadable(news)
-	if c.known.Apply(news.GetBatch(), now) {
-		c.rebuild = true
-		c.takeBalancers(now)
+	confirms := c.confirms(news)
+	if _, knows := c.core.Age(now); !knows && confirms && news.GetBatch().GetComplete() {
+		c.known.Clear() // an old copy may have been read
 	}
-	// A batch without a revision is a part of what the store holds, or comes
-	// from a peer that knows nothing itself. An old copy confirms nothing.
-	old := news.GetPeer() == "" && replication.Poll(news.GetPoll()) == replication.PollOld
-	if news.GetBatch().GetRevision() > 0 && !old {
+	c.apply(news.GetBatch(), now)
+	if confirms {
 		c.core.Confirm(asOf)
 		c.balancer.confirmedAt.Store(int64(c.core.ConfirmedAt().Sub(c.balancer.started)))
 	}
 }
 
+// confirms tells whether news say what holds in the store now. A batch without a revision is a
+// part of what it holds, or comes from a peer that knows nothing itself; an old copy says what
+// held, and so does what comes from an era that the store has left.
+func (c *control) confirms(news *apiv1.DirectoryNews) bool {
+	told := news.GetBatch().GetRevision()
+	if news.GetPeer() == "" && replication.Poll(news.GetPoll()) == replication.PollOld {
+		return false
+	}
+	return told > 0 && revision.EraOf(told) >= revision.EraOf(c.known.Revision())
+}
+
+// apply takes entries, and that the store came back from a copy if they show that.
+func (c *control) apply(batch *apiv1.DirectoryBatch, now time.Time) {
+	before := c.known.Revision()
+	if c.known.Apply(batch, now) {
+		c.rebuild = true
+		c.takeBalancers(now)
+	}
+	after := c.known.Revision()
+	c.balancer.era.Store(uint64(revision.EraOf(after)))
+	if before == 0 || revision.EraOf(after) == revision.EraOf(before) {
+		return
+	}
+	c.rebuild = true
+	c.core.StoreRestored(c.known.Balancers(), now)
+	c.balancer.logger.Info("Control: store came back from a copy.", "era", revision.EraOf(after), "revision", revision.NumberOf(after),
+		"known_to", revision.Text(before), "held", c.known.Held())
+}
+
 // countUnreadable counts the entries of the store that could not be read.
 func (c *control) countUnreadable(news *apiv1.DirectoryNews) {
+	if news.GetPeer() != "" {
+		return // who read the store has counted them
+	}
 	for _, change := range news.GetBatch().GetChanges() {
 		if change.GetUnreadable() {
 			c.balancer.unreadable.Add(1)
@@ -126,7 +157,7 @@
 	batch := news.GetBatch()
 	if c.known.Contradicts(batch) {
 		c.balancer.logger.Info("Control: orders have changed unseen, the store is read whole.",
-			"revision", batch.GetOrdersRevision())
+			"revision", revision.Text(batch.GetOrdersRevision()))
 		c.core.HistoryLost(now)
 	}
 	if batch != nil {
--- a/internal/balancer/members.go
+++ b/internal/balancer/members.go
@@ -15,7 +15,7 @@
 	if !found {
 		return
 	}
-	c.write = write
+	c.write, c.writeEra = write, c.balancer.era.Load()
 	c.balancer.logger.Debug("Control: entries of balancers are written.", "put", len(write.Put), "remove", write.Remove,
 		"first_of_zones", len(write.Leads))
 	go c.writeMembers(ctx, write, c.revisionsOf(write.Remove))
@@ -56,8 +56,10 @@
 	return found
 }
 
-// writeEnded takes the end of a write.
-func (c *control) writeEnded(failed bool, now time.Time) {
+// writeEnded takes the end of a write. One that was under way when the store came back from a
+// copy may be lost, and counts as failed: it is made again if it is still due.
+func (c *control) writeEnded(failure string, now time.Time) {
+	failed := failure != "" || c.writeEra != c.balancer.era.Load()
 	c.core.WriteEnded(c.write, failed, now)
 	c.write = replication.Write{}
 }
--- a/internal/balancer/metrics.go
+++ b/internal/balancer/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/indigobarrow/indigobarrow/internal/admission"
+	"github.com/indigobarrow/indigobarrow/internal/revision"
 	"github.com/indigobarrow/indigobarrow/internal/tokenroute"
 )
 
@@ -48,6 +49,8 @@
 		"Calls to the store and to peers by outcome.", []string{"to", "outcome"}, nil)
 	purposesDescription = prometheus.NewDesc("indigobarrow_balancer_store_calls_total",
 		"Calls to the store by purpose.", []string{"purpose"}, nil)
+	eraDescription = prometheus.NewDesc("indigobarrow_balancer_store_era",
+		"How often the store came back from a copy, by its own count.", nil, nil)
 	ageDescription = prometheus.NewDesc("indigobarrow_balancer_knowledge_age_seconds",
 		"Time since the store confirmed what is known.", nil, nil)
 	silentDescription = prometheus.NewDesc("indigobarrow_balancer_silent_connections_total",
@@ -112,6 +115,7 @@
 	counter(asideDescription, balancer.asides.Load())
 	counter(silentDescription, balancer.control.client.GivenUp.Load()+balancer.control.testimony.client.GivenUp.Load())
 	if confirmed := balancer.confirmedAt.Load(); confirmed > 0 {
+		gauge(eraDescription, float64(balancer.era.Load()))
 		gauge(ageDescription, (time.Since(balancer.started) - time.Duration(confirmed)).Seconds())
 	}
 	for kind, count := range traffic.refusals.all() {
@@ -127,8 +131,8 @@
 	}
 	if table := balancer.table.Load(); table != nil {
 		gauge(versionDescription, float64(table.Version))
-		for zone, revision := range table.Evacuated {
-			gauge(evacuatedDescription, float64(revision), zone)
+		for zone, ordered := range table.Evacuated {
+			gauge(evacuatedDescription, float64(revision.NumberOf(ordered)), zone)
 		}
 	}
 	collectDemand(balancer.Picture(), gauge)
--- a/internal/balancer/renew.go
+++ b/internal/balancer/renew.go
@@ -6,6 +6,7 @@
 	"github.com/indigobarrow/indigobarrow/internal/directory"
 	"github.com/indigobarrow/indigobarrow/internal/flow"
 	"github.com/indigobarrow/indigobarrow/internal/mechanism"
+	"github.com/indigobarrow/indigobarrow/internal/revision"
 	"github.com/indigobarrow/indigobarrow/internal/tokenroute"
 )
 
@@ -41,7 +42,7 @@
 	previous := c.balancer.table.Swap(table)
 	if previous == nil || previous.Version != table.Version {
 		c.balancer.logger.Info("Control: configuration in force.", "version", table.Version,
-			"revision", table.Revision, "routes", table.Routes())
+			"revision", revision.Text(table.Revision), "routes", table.Routes())
 	}
 	if c.balancer.traffic != nil && (previous == nil || table.Restarts() > 0) {
 		c.balancer.traffic.newTable()
--- a/internal/balancer/warming.go
+++ b/internal/balancer/warming.go
@@ -6,6 +6,7 @@
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/directory"
+	"github.com/indigobarrow/indigobarrow/internal/revision"
 	"github.com/indigobarrow/indigobarrow/internal/tokenroute"
 )
 
@@ -175,14 +176,14 @@
 
 // tellEvacuations logs the orders that have come into force or ended with a table.
 func (c *control) tellEvacuations(before, after map[string]uint64) {
-	for zone, revision := range after {
-		if before[zone] != revision {
-			c.balancer.logger.Info("Control: zone is evacuated.", "zone", zone, "revision", revision)
+	for zone, ordered := range after {
+		if before[zone] != ordered {
+			c.balancer.logger.Info("Control: zone is evacuated.", "zone", zone, "revision", revision.Text(ordered))
 		}
 	}
-	for zone, revision := range before {
+	for zone, ordered := range before {
 		if _, holds := after[zone]; !holds {
-			c.balancer.logger.Info("Control: zone is taken back.", "zone", zone, "ordered_at_revision", revision)
+			c.balancer.logger.Info("Control: zone is taken back.", "zone", zone, "ordered_at_revision", revision.Text(ordered))
 		}
 	}
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -59,6 +59,9 @@
 	// heardAt is when an entry of this start of a back end was last heard of, and
 	// restartedAt when this start took the place of another one.
 	heardAt, restartedAt time.Time
+	// held is believed in place of the change until heldUntil; nil is not.
+	held      *apiv1.DirectoryChange
+	heldUntil time.Time
 }
 
 // Directory is the knowledge of one balancer. It belongs to one goroutine.
@@ -71,13 +74,15 @@
 	// steps are the latest rises of the revision, the oldest first.
 	steps   []step
 	entries map[Key]*entry
-	// expiry is no later than the first tombstone's end; the zero time is none.
-	// Expire is called with each event and looks at the tombstones only then.
+	// expiry is no later than the end of the first tombstone or held entry; the zero
+	// time is none. Expire is called with each event and looks at them only then.
 	expiry time.Time
 	log    changeLog
 	// tombstones are the entries that were removed: to find those that have had their time
 	// costs by them, and not by all that is known.
 	tombstones map[Key]*entry
+	// held are the entries that are held against the store's copy.
+	held map[Key]*entry
 	// orders are the entries of orders to evacuate, by zone.
 	orders map[string]*entry
 	// listing are the back ends in order.
@@ -100,7 +105,17 @@
 // New makes an empty directory that keeps tombstones for the given time.
 func New(retention time.Duration) *Directory {
 	return &Directory{retention: retention, entries: make(map[Key]*entry), orders: make(map[string]*entry),
-		tombstones: make(map[Key]*entry), listing: newListing()}
+		tombstones: make(map[Key]*entry), held: make(map[Key]*entry), listing: newListing()}
+}
+
+// Clear forgets everything. What was learned from an old copy of the store may be later than
+// the store itself, when that has just come back from an older one.
+func (d *Directory) Clear() {
+	for key := range d.entries {
+		d.drop(key)
+	}
+	d.revision, d.forgotten, d.steps, d.log = 0, 0, nil, changeLog{}
+	d.balancerChanges++
 }
 
 // Revision is the revision up to which everything is known; 0 is nothing.
@@ -108,18 +123,45 @@
 
 // Apply merges a batch and tells whether any entry changed.
 func (d *Directory) Apply(batch *apiv1.DirectoryBatch, now time.Time) bool {
+	if d.ofPastEra(batch) {
+		return d.addUnknown(batch, now)
+	}
 	changed := false
-	late := batch.GetRevision() < d.revision
+	from := arrival{late: batch.GetRevision() < d.revision, entering: d.entersEra(batch), at: now}
 	for _, change := range batch.GetChanges() {
-		changed = d.merge(change, late, now) || changed
+		changed = d.take(change, from) || changed
 	}
 	if batch.GetComplete() {
-		changed = d.removeUnnamed(batch, now) || changed
+		changed = d.removeUnnamed(batch, from) || changed
 	}
 	d.rise(batch.GetRevision())
 	return changed
 }
 
+// arrival is how a batch came.
+type arrival struct {
+	// late is set when it is older than what is known.
+	late bool
+	// entering is set when it is the first one of a later era.
+	entering bool
+	at       time.Time
+}
+
+// take merges one change, and decides what is believed of its entry.
+func (d *Directory) take(change *apiv1.DirectoryChange, from arrival) bool {
+	key := KeyOf(change)
+	known := d.entries[key]
+	if known == nil {
+		return d.merge(key, change, from)
+	}
+	before := beliefIn(known)
+	changed := d.merge(key, change, from)
+	if known.change != before.told {
+		d.reconcile(key, known, before, from)
+	}
+	return changed
+}
+
 func (d *Directory) rise(revision uint64) {
 	if revision <= d.revision {
 		return
@@ -149,13 +191,13 @@
 // time: who knows what held at the start of a step has the same content, and who
 // saw something in between gets a complete batch. A late batch, one that is older
 // than what is known, brings no entry back: had it lasted, it would be known.
-func (d *Directory) merge(change *apiv1.DirectoryChange, late bool, now time.Time) bool {
-	key := KeyOf(change)
+func (d *Directory) merge(key Key, change *apiv1.DirectoryChange, from arrival) bool {
+	late, now := from.late, from.at
 	if key.Kind == KindNone {
 		return false
 	}
 	known := d.entries[key]
-	if change.GetUnreadable() && (known == nil || known.change.GetGone()) {
+	if namesOnly(change) && (known == nil || known.change.GetGone()) {
 		return false
 	}
 	if late && !change.GetGone() && (known == nil || known.change.GetGone()) {
@@ -175,10 +217,14 @@
 	if change.GetRevision() <= known.change.GetRevision() {
 		return false
 	}
+	if known.reverts(change, from.entering) {
+		d.contest(key, known, change.GetRevision())
+		return false
+	}
 	if change.GetGone() {
 		return d.bury(key, known, change.GetRevision(), now)
 	}
-	if change.GetUnreadable() {
+	if namesOnly(change) {
 		return d.setAside(key, known, change.GetRevision())
 	}
 	if known.outdates(change, now) {
@@ -250,7 +296,8 @@
 // removeUnnamed buries the entries that a complete batch would have named if
 // they still existed. A tombstone in the batch names nothing: it may be older
 // than an entry that was made and removed again since.
-func (d *Directory) removeUnnamed(batch *apiv1.DirectoryBatch, now time.Time) bool {
+// Those stand that outlast a copy.
+func (d *Directory) removeUnnamed(batch *apiv1.DirectoryBatch, from arrival) bool {
 	named := make(map[Key]bool, len(batch.GetChanges()))
 	for _, change := range batch.GetChanges() {
 		if !change.GetGone() {
@@ -262,19 +309,25 @@
 		if named[key] || known.change.GetGone() || known.change.GetRevision() > batch.GetRevision() {
 			continue
 		}
-		changed = d.bury(key, known, batch.GetRevision(), now) || changed
+		if known.outlasts(key.Kind, from) {
+			d.contestOnce(key, known, batch.GetRevision())
+			continue
+		}
+		before := beliefIn(known)
+		changed = d.bury(key, known, batch.GetRevision(), from.at) || changed
+		d.reconcile(key, known, before, from)
 	}
 	return changed
 }
 
-// Expire drops tombstones that are older than the retention. It tells whether
-// any was dropped.
+// Expire drops tombstones that are older than the retention, and lets entries be what the
+// store says that were held for long enough. It tells whether there were any.
 func (d *Directory) Expire(now time.Time) bool {
 	if d.expiry.IsZero() || now.Before(d.expiry) {
 		return false
 	}
 	d.expiry = time.Time{}
-	dropped := false
+	dropped := d.releaseDue(now)
 	for key, known := range d.tombstones {
 		if now.Sub(known.goneAt) < d.retention {
 			d.expireAfter(known.goneAt)
@@ -291,6 +344,7 @@
 func (d *Directory) drop(key Key) {
 	delete(d.entries, key)
 	delete(d.tombstones, key)
+	delete(d.held, key)
 	switch key.Kind {
 	case KindBackend:
 		d.listing.change(key.Name)
@@ -301,7 +355,12 @@
 
 // expireAfter notes that a tombstone was made at a time.
 func (d *Directory) expireAfter(goneAt time.Time) {
-	if end := goneAt.Add(d.retention); d.expiry.IsZero() || end.Before(d.expiry) {
+	d.expireAt(goneAt.Add(d.retention))
+}
+
+// expireAt notes that something has had its time at a time.
+func (d *Directory) expireAt(end time.Time) {
+	if d.expiry.IsZero() || end.Before(d.expiry) {
 		d.expiry = end
 	}
 }
--- a/internal/directory/doc.go
+++ b/internal/directory/doc.go
@@ -13,6 +13,9 @@
 //
 //   - Revision never falls, and no entry is ever replaced by an older one. A
 //     balancer that has once acted on a table of routes never goes back.
+//   - Revisions are joined ones (package revision): when the store comes back from
+//     a copy, what it says is later than all before, and what the copy lacks is held
+//     until it has been written again (eras.go).
 //   - An entry that was removed stays as a tombstone for Retention, together
 //     with what it last held, because open flows still have to reach a back end
 //     whose entry has gone.
--- a/internal/directory/listing.go
+++ b/internal/directory/listing.go
@@ -186,10 +186,10 @@
 // listed is the entry of a back end as it is listed, if it has one that tells an address.
 func (d *Directory) listed(id string) (BackendEntry, bool) {
 	known := d.entries[Key{Kind: KindBackend, Name: id}]
-	if known == nil || known.change.GetBackend().GetAddress() == 0 {
+	if known == nil || known.believed().GetBackend().GetAddress() == 0 {
 		return BackendEntry{}, false
 	}
-	made := BackendEntry{PoolBackend: known.change.GetBackend(), Gone: known.change.GetGone(), LearnedAt: known.learnedAt,
+	made := BackendEntry{PoolBackend: known.believed().GetBackend(), Gone: known.believed().GetGone(), LearnedAt: known.learnedAt,
 		Restarted: !known.restartedAt.IsZero()}
 	if made.Gone && known.seen {
 		made.VanishedAt = known.goneAt
--- a/internal/directory/lookup.go
+++ b/internal/directory/lookup.go
@@ -56,8 +56,8 @@
 func (d *Directory) Evacuations() []Evacuation {
 	var found []Evacuation
 	for zone, known := range d.orders {
-		order := Evacuation{Zone: zone, Revision: known.change.GetRevision(), LearnedAt: known.learnedAt}
-		if known.change.GetGone() {
+		order := Evacuation{Zone: zone, Revision: known.believed().GetRevision(), LearnedAt: known.learnedAt}
+		if known.believed().GetGone() {
 			order.GoneAt = known.goneAt
 		}
 		found = append(found, order)
@@ -81,12 +81,12 @@
 		}
 	}
 	holding := 0
-	for _, order := range d.Evacuations() {
-		if !order.Holds() {
+	for zone, known := range d.orders {
+		if known.change.GetGone() {
 			continue
 		}
 		holding++
-		if named[order.Zone] != order.Revision {
+		if named[zone] != known.change.GetRevision() {
 			return true
 		}
 	}
--- a/internal/directory/starts.go
+++ b/internal/directory/starts.go
@@ -35,9 +35,9 @@
 	}
 }
 
-// contest takes that an earlier start of a back end wrote its entry last. Somebody may hold
-// what it wrote, so what the later start writes next differs from what is known here, and is
-// told.
+// contest takes that the store shows what is older than what is known: what an earlier start
+// of a back end wrote last, or what a copy of the store held or lacks. Somebody may hold that,
+// so what is written next differs from what is known here, and is told.
 func (d *Directory) contest(key Key, known *entry, revision uint64) {
 	contested := proto.CloneOf(known.change)
 	contested.Revision, contested.Contested = revision, true
@@ -45,6 +45,19 @@
 	d.note(key, known)
 }
 
+// contestOnce is contest for what stays contested with each read until it is written again.
+func (d *Directory) contestOnce(key Key, known *entry, revision uint64) {
+	if !known.change.GetContested() {
+		d.contest(key, known, revision)
+	}
+}
+
+// namesOnly tells whether a change says that an entry exists and can't be read, and not what
+// it held before.
+func namesOnly(change *apiv1.DirectoryChange) bool {
+	return change.GetUnreadable() && change.GetBackend().GetAddress() == 0
+}
+
 // setAside takes that an entry exists and can't be read. A back end of whom that holds gets
 // no new flows until it can be read again; what was known of it stays for its open flows.
 // Of other entries what was known holds.
@@ -53,7 +66,7 @@
 		return false
 	}
 	aside := proto.CloneOf(known.change)
-	aside.Revision = revision
+	aside.Revision, aside.Unreadable = revision, true
 	aside.GetBackend().Draining = true
 	known.change = aside
 	d.note(key, known)
--- a/internal/replication/members.go
+++ b/internal/replication/members.go
@@ -250,6 +250,14 @@
 	return Write{Put: []*apiv1.Balancer{c.config.Self}}, true
 }
 
+// StoreRestored takes that the store came back from a copy, with the balancers that it lists
+// now. What was written to it since is lost, whether the write was seen to take effect or not,
+// and is written again.
+func (c *Core) StoreRestored(known []*apiv1.Balancer, now time.Time) {
+	c.members.leads.written = nil
+	c.SetBalancers(known, now)
+}
+
 // WriteEnded takes the end of a write. What was written shows in the directory
 // soon after; until then it is not written again.
 func (c *Core) WriteEnded(write Write, failed bool, now time.Time) {
--- a/internal/standin/metadata/metadata.go
+++ b/internal/standin/metadata/metadata.go
@@ -55,7 +55,7 @@
 	lengths   map[uint64]time.Duration
 	changed   chan struct{}
 	faults    Faults
-	// era is how often the store came back from a copy, counted from 1.
+	// era is how often the store came back from a copy.
 	era atomic.Uint64
 	// callers are the faults for callers from one IP.
 	callers map[string]Faults
@@ -64,7 +64,7 @@
 
 // New makes an empty store whose ranges come in pages of a size.
 func New(pageSize int) *Server {
-	made := &Server{
+	return &Server{
 		pageSize: pageSize,
 		items:    make(map[string]Item),
 		leases:   make(map[uint64]time.Time),
@@ -73,8 +73,6 @@
 		callers:  make(map[string]Faults),
 		calls:    make(map[string]int),
 	}
-	made.era.Store(1)
-	return made
 }
 
 // SetFaults switches faults on and off.
