An old copy read at a start never hides what holds

Cause: an answer that may be seconds old tells the era of now; its revisions may be of the one before. Era and number then are later than anything that holds.

Why it holds: the first thing that confirms takes the place of an old copy that is later than it, which no copy can be within an era. A copy that is earlier is kept, since it knows back ends that have just gone.

Before: TestOldCopyOfWhatTheStoreHasLostHidesNothing fails with the change taken out (revision 80 in place of 63). After: passes.

--- a/internal/balancer/control_test.go
+++ b/internal/balancer/control_test.go
@@ -14,6 +14,7 @@
 	"github.com/indigobarrow/indigobarrow/internal/directory"
 	"github.com/indigobarrow/indigobarrow/internal/events"
 	"github.com/indigobarrow/indigobarrow/internal/replication"
+	"github.com/indigobarrow/indigobarrow/internal/revision"
 	"github.com/indigobarrow/indigobarrow/internal/rule"
 	"github.com/indigobarrow/indigobarrow/internal/settings"
 )
@@ -92,6 +93,66 @@
 	require.NotNil(t, control.balancer.table.Load())
 }
 
+// Story: a balancer that started just as the store came back from a copy read an old answer, which
+// still was of what the store has lost, and took it for later than all that holds: the configuration
+// and the back ends that others told it were ignored until the store had counted beyond it.
+//
+// Evidence: an answer that may be seconds old tells the store's era as of now, so that nothing in it
+// says that its revision was given in the one before.
+func TestOldCopyOfWhatTheStoreHasLostHidesNothing(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	control.learn(&apiv1.DirectoryNews{Batch: routesBatch(80), Poll: uint32(replication.PollOld),
+		AsOfNanoseconds: control.nanoseconds(now)}, now)
+	holds := routesBatch(63)
+	holds.Changes = append(holds.Changes, &apiv1.DirectoryChange{Revision: 62, Entry: &apiv1.DirectoryChange_Backend{
+		Backend: &apiv1.PoolBackend{Id: "i-1", Number: 1, Pool: "one", Zone: "maadi", Address: 1, Port: 1, Capacity: 1}}})
+	control.learn(&apiv1.DirectoryNews{Peer: "10.0.0.2:8166", Batch: holds, AsOfNanoseconds: control.nanoseconds(now)}, now)
+	require.Equal(t, uint64(63), control.known.Revision())
+	require.Equal(t, uint64(63), control.known.Routes().GetVersion())
+	require.Len(t, control.known.Backends(), 1)
+	require.False(t, control.known.Backends()[0].Gone)
+}
+
+// A back end that had gone when a balancer started is known to it from the old copy, so that open
+// flows find it: the copy is older than what holds, and is kept.
+func TestOldCopyIsKeptBesideWhatHolds(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	old := routesBatch(5)
+	old.Changes = append(old.Changes, &apiv1.DirectoryChange{Revision: 4, Entry: &apiv1.DirectoryChange_Backend{
+		Backend: &apiv1.PoolBackend{Id: "i-1", Number: 1, Pool: "one", Zone: "maadi", Address: 1, Port: 1, Capacity: 1}}})
+	control.learn(&apiv1.DirectoryNews{Batch: old, Poll: uint32(replication.PollOld), AsOfNanoseconds: control.nanoseconds(now)}, now)
+	control.learn(&apiv1.DirectoryNews{Batch: routesBatch(6), AsOfNanoseconds: control.nanoseconds(now)}, now)
+	require.Len(t, control.known.Backends(), 1)
+	require.True(t, control.known.Backends()[0].Gone)
+}
+
+// An answer of an era that the store has left confirms nothing, and a write that was under way as it
+// was left counts as failed.
+func TestLateAnswerOfAnEarlierEraConfirmsNothing(t *testing.T) {
+	control := newTestControl()
+	now := time.Now()
+	later, err := revision.Join(1, 3)
+	require.NoError(t, err)
+	control.learn(&apiv1.DirectoryNews{Batch: routesBatch(5), AsOfNanoseconds: control.nanoseconds(now.Add(-3 * time.Second))}, now)
+	control.writeEra = control.balancer.era.Load()
+	restored := routesBatch(6)
+	restored.Revision, restored.Changes[0].Revision = later, later
+	control.learn(&apiv1.DirectoryNews{Batch: restored, AsOfNanoseconds: control.nanoseconds(now.Add(-2 * time.Second))}, now)
+	control.learn(&apiv1.DirectoryNews{Peer: "10.0.0.2:8166", Batch: routesBatch(7), AsOfNanoseconds: control.nanoseconds(now)}, now)
+	age, known := control.core.Age(now)
+	require.True(t, known)
+	require.Equal(t, 2*time.Second, age)
+	require.Equal(t, uint64(6), control.known.Routes().GetVersion())
+
+	entry := &apiv1.Balancer{Name: "edge-9", Zone: "maadi", PeerAddress: "10.0.0.9:8166"}
+	control.write = replication.Write{Put: []*apiv1.Balancer{entry}}
+	control.learn(&apiv1.DirectoryNews{Write: true}, now)
+	control.core.TakeShown([]*apiv1.Balancer{entry}, now)
+	require.Contains(t, control.core.Shown(now), entry, "it may be lost, and is still to be written")
+}
+
 // The reader removes the entry that it knows, and no later one.
 func TestEntriesAreRemovedAtTheRevisionsThatAreKnown(t *testing.T) {
 	control := newTestControl()
--- a/internal/balancer/learn.go
+++ b/internal/balancer/learn.go
@@ -8,6 +8,7 @@
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/demand"
+	"github.com/indigobarrow/indigobarrow/internal/directory"
 	"github.com/indigobarrow/indigobarrow/internal/events"
 	"github.com/indigobarrow/indigobarrow/internal/replication"
 	"github.com/indigobarrow/indigobarrow/internal/revision"
@@ -48,8 +49,8 @@
 	}
 	c.countUnreadable(news)
 	confirms := c.confirms(news)
-	if _, knows := c.core.Age(now); !knows && confirms && news.GetBatch().GetComplete() {
-		c.known.Clear() // an old copy may have been read
+	if _, knows := c.core.Age(now); !knows && confirms && precedes(news.GetBatch(), c.known) {
+		c.known.Clear()
 	}
 	c.apply(news.GetBatch(), now)
 	if confirms {
@@ -58,6 +59,13 @@
 	}
 }
 
+// precedes tells whether all that holds is older than what was read. What a balancer reads at its
+// start may be some seconds old, and if the store came back from a copy meanwhile, it is of what
+// the store has lost.
+func precedes(batch *apiv1.DirectoryBatch, known *directory.Directory) bool {
+	return batch.GetComplete() && batch.GetRevision() < known.Revision()
+}
+
 // confirms tells whether news say what holds in the store now. A batch without a revision is a
 // part of what it holds, or comes from a peer that knows nothing itself; an old copy says what
 // held, and so does what comes from an era that the store has left.
