Policies that the store loses are written again

Operators saw (by a test): a policy that was accepted before a drill was not in force after it, and one that was removed was back.

Cause: operators write policies through this product, so nobody but the balancers has what a copy of the store lacks; a later era was taken as it is.

Why it holds: what is known of a policy stands against the copy, and is told to others as such, until it has been written. Who reads the store writes it on the condition that the copy's entry is still there, so that what an operator wrote since stands; one policy at a time and by chance, so that one that can't be written holds up no other.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/directory"
 	"github.com/indigobarrow/indigobarrow/internal/events"
 	"github.com/indigobarrow/indigobarrow/internal/mechanism"
 	"github.com/indigobarrow/indigobarrow/internal/replication"
@@ -60,6 +61,9 @@
 	// WriteLeads writes the lists of the first balancers of zones, all or none of
 	// them.
 	WriteLeads(ctx context.Context, lists []*apiv1.ZoneLeads) error
+	// RestorePolicy writes a policy that the store has lost, or removes it, if nobody has
+	// written it since.
+	RestorePolicy(ctx context.Context, lost directory.LostPolicy) error
 	// RemoveBalancers removes entries of balancers, all or none of them, at most
 	// replication.RemoveLimit. It fails when one of them was written since.
 	RemoveBalancers(ctx context.Context, entries []BalancerRevision) error
--- a/internal/balancer/members.go
+++ b/internal/balancer/members.go
@@ -11,11 +11,15 @@
 
 // startWrite writes what is due about balancers to the store.
 func (c *control) startWrite(ctx context.Context, now time.Time) {
+	c.core.SetLost(c.known.LostPolicies())
 	write, found := c.core.NextWrite(now)
 	if !found {
 		return
 	}
 	c.write, c.writeEra = write, c.balancer.era.Load()
+	if write.Policy != nil {
+		c.balancer.logger.Info("Control: policy that the store has lost is written again.", "name", write.Policy.Policy.GetName(), "removed", write.Policy.Gone)
+	}
 	c.balancer.logger.Debug("Control: entries of balancers are written.", "put", len(write.Put), "remove", write.Remove,
 		"first_of_zones", len(write.Leads))
 	go c.writeMembers(ctx, write, c.revisionsOf(write.Remove))
@@ -30,6 +34,8 @@
 	switch {
 	case len(write.Put) > 0:
 		err = store.WriteBalancers(bounded, write.Put)
+	case write.Policy != nil:
+		err = store.RestorePolicy(bounded, *write.Policy)
 	case len(write.Leads) > 0:
 		err = store.WriteLeads(bounded, write.Leads)
 	default:
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -62,6 +62,9 @@
 	// held is believed in place of the change until heldUntil; nil is not.
 	held      *apiv1.DirectoryChange
 	heldUntil time.Time
+	// stands is the revision of what the store has in place of a policy that it lost; 0 is
+	// nothing, or not known.
+	stands uint64
 }
 
 // Directory is the knowledge of one balancer. It belongs to one goroutine.
@@ -81,8 +84,9 @@
 	// tombstones are the entries that were removed: to find those that have had their time
 	// costs by them, and not by all that is known.
 	tombstones map[Key]*entry
-	// held are the entries that are held against the store's copy.
-	held map[Key]*entry
+	// held are the entries that are held against the store's copy, and lost the policies
+	// that were to be written again when they were last looked at.
+	held, lost map[Key]*entry
 	// orders are the entries of orders to evacuate, by zone.
 	orders map[string]*entry
 	// listing are the back ends in order.
@@ -105,7 +109,7 @@
 // New makes an empty directory that keeps tombstones for the given time.
 func New(retention time.Duration) *Directory {
 	return &Directory{retention: retention, entries: make(map[Key]*entry), orders: make(map[string]*entry),
-		tombstones: make(map[Key]*entry), held: make(map[Key]*entry), listing: newListing()}
+		tombstones: make(map[Key]*entry), held: make(map[Key]*entry), lost: make(map[Key]*entry), listing: newListing()}
 }
 
 // Clear forgets everything. What was learned from an old copy of the store may be later than
@@ -215,10 +219,12 @@
 		return true
 	}
 	if change.GetRevision() <= known.change.GetRevision() {
+		known.notice(change)
 		return false
 	}
 	if known.reverts(change, from.entering) {
 		d.contest(key, known, change.GetRevision())
+		known.notice(change)
 		return false
 	}
 	if change.GetGone() {
@@ -234,6 +240,7 @@
 	known.hear(change, now)
 	same := !known.change.GetGone() && sameContent(known.change, change)
 	known.change = change
+	d.noteLost(key, known)
 	known.goneAt = time.Time{}
 	delete(d.tombstones, key)
 	known.seen = true
@@ -262,8 +269,7 @@
 func (d *Directory) bury(key Key, known *entry, revision uint64, now time.Time) bool {
 	wasGone := known.change.GetGone()
 	buried := proto.CloneOf(known.change)
-	buried.Revision = revision
-	buried.Gone = true
+	buried.Revision, buried.Gone, buried.Contested = revision, true, false
 	known.change = buried
 	d.note(key, known)
 	d.tombstones[key] = known
@@ -306,7 +312,11 @@
 	}
 	changed := false
 	for key, known := range d.entries {
-		if named[key] || known.change.GetGone() || known.change.GetRevision() > batch.GetRevision() {
+		if named[key] || known.change.GetRevision() > batch.GetRevision() {
+			continue
+		}
+		if known.change.GetGone() {
+			known.stands = 0
 			continue
 		}
 		if known.outlasts(key.Kind, from) {
@@ -345,6 +355,7 @@
 	delete(d.entries, key)
 	delete(d.tombstones, key)
 	delete(d.held, key)
+	delete(d.lost, key)
 	switch key.Kind {
 	case KindBackend:
 		d.listing.change(key.Name)
--- a/internal/directory/eras.go
+++ b/internal/directory/eras.go
@@ -71,6 +71,45 @@
 	return e.change
 }
 
+// LostPolicy is a policy, or the removal of one, that the store has lost.
+type LostPolicy struct {
+	Policy *apiv1.Policy
+	// Gone is set where it was the removal.
+	Gone bool
+	// Stands is the store's revision of what it has in its place; 0 is nothing.
+	Stands uint64
+}
+
+// LostPolicies returns what is to be written again of policies: nobody else remembers them.
+func (d *Directory) LostPolicies() []LostPolicy {
+	var found []LostPolicy
+	for key, known := range d.lost {
+		if !known.change.GetContested() {
+			delete(d.lost, key)
+			continue
+		}
+		if known.change.GetGone() && known.stands == 0 {
+			continue // nothing stands that would have to be removed
+		}
+		found = append(found, LostPolicy{Policy: known.change.GetPolicy(), Gone: known.change.GetGone(), Stands: known.stands})
+	}
+	return found
+}
+
+// noteLost notes that a policy is to be written again, if an entry is one.
+func (d *Directory) noteLost(key Key, known *entry) {
+	if key.Kind == KindPolicy && known.change.GetContested() {
+		d.lost[key] = known
+	}
+}
+
+// notice takes what the store has in place of a policy that it lost.
+func (e *entry) notice(change *apiv1.DirectoryChange) {
+	if e.change.GetContested() && change.GetPolicy() != nil && !change.GetGone() && !change.GetContested() {
+		e.stands = change.GetRevision()
+	}
+}
+
 // outlasts tells whether an entry stands that a complete batch does not name: the table of
 // routes, and a policy that the store has lost.
 func (e *entry) outlasts(kind Kind, from arrival) bool {
--- a/internal/directory/starts.go
+++ b/internal/directory/starts.go
@@ -42,6 +42,7 @@
 	contested := proto.CloneOf(known.change)
 	contested.Revision, contested.Contested = revision, true
 	known.change = contested
+	d.noteLost(key, known)
 	d.note(key, known)
 }
 
--- a/internal/replication/members.go
+++ b/internal/replication/members.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/directory"
 )
 
 // Which balancers there are stands in the store, so that one that knows nobody
@@ -47,12 +48,17 @@
 	writeOwnAfter = 5 * time.Second
 )
 
-// Write is what to write to the store about balancers: entries to put, names to
-// remove, or the first of large zones.
+// Write is what to write to the store: entries of balancers to put, names to remove, the
+// first of large zones, or a policy that the store has lost.
 type Write struct {
 	Put    []*apiv1.Balancer
 	Remove []string
 	Leads  []*apiv1.ZoneLeads
+	Policy *directory.LostPolicy
+}
+
+func (w Write) empty() bool {
+	return len(w.Put) == 0 && len(w.Remove) == 0 && len(w.Leads) == 0 && w.Policy == nil
 }
 
 // members are the balancers that the directory lists, and what is to be changed
@@ -70,6 +76,8 @@
 	nextAt  time.Time
 	writing bool
 	leads   leads
+	// lost are the policies that the store has lost.
+	lost []directory.LostPolicy
 }
 
 type shownEntry struct {
@@ -218,14 +226,17 @@
 	if len(write.Put) > WriteLimit {
 		write.Put = write.Put[:WriteLimit]
 	}
-	if len(write.Put) == 0 {
+	if write.empty() && len(m.lost) > 0 {
+		write.Policy = &m.lost[c.chance.IntN(len(m.lost))]
+	}
+	if write.empty() {
 		write.Remove = c.Silent(now)
 		write.Remove = write.Remove[:min(len(write.Remove), RemoveLimit)]
 	}
-	if len(write.Put) == 0 && len(write.Remove) == 0 {
+	if write.empty() {
 		write.Leads = c.leadsToWrite(now)
 	}
-	if len(write.Put) == 0 && len(write.Remove) == 0 && len(write.Leads) == 0 {
+	if write.empty() {
 		m.nextAt = now.Add(gatherEntries)
 		return Write{}, false
 	}
@@ -258,6 +269,10 @@
 	c.SetBalancers(known, now)
 }
 
+// SetLost takes the policies that the store has lost. Who reads the store writes them again, in
+// no order: one whose write fails must not hold up the others.
+func (c *Core) SetLost(lost []directory.LostPolicy) { c.members.lost = lost }
+
 // WriteEnded takes the end of a write. What was written shows in the directory
 // soon after; until then it is not written again.
 func (c *Core) WriteEnded(write Write, failed bool, now time.Time) {
--- a/internal/replication/members_test.go
+++ b/internal/replication/members_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/directory"
 )
 
 // reader makes the core that reads for three balancers.
@@ -127,3 +128,47 @@
 	require.Equal(t, []string{below[1].GetName()}, core.Silent(now))
 	require.Empty(t, core.Silent(now.Add(2*showFor)), "a report is passed on for a while only")
 }
+
+// Story: a balancer's entry was written and the store had said so, but the store came back from an
+// older copy before anybody read it. The reader took the entry for listed and passed over each
+// showing of it, so the balancer stood in no list until some other one changed.
+//
+// Evidence: what was written counts as listed until the directory lists something new; a copy that
+// lacks it brings nothing new.
+func TestEntryThatAStoreLosesIsWrittenAgain(t *testing.T) {
+	core := reader(t)
+	joining := []*apiv1.Balancer{{Name: name(100), Zone: "maadi", PeerAddress: address(100)}}
+	core.TakeShown(joining, after(10))
+	first, found := core.NextWrite(after(500))
+	require.True(t, found)
+	core.WriteEnded(first, false, after(510))
+	core.TakeShown(joining, after(600))
+	_, found = core.NextWrite(after(800))
+	require.False(t, found, "it is written")
+
+	core.StoreRestored(zoneOf(3), after(900))
+	core.TakeShown(joining, after(910))
+	again, found := core.NextWrite(after(1200))
+	require.True(t, found)
+	require.Equal(t, joining, again.Put)
+}
+
+// Lost policies are written one at a time, and one that can't be written holds up no other.
+func TestLostPoliciesAreWrittenByTheReader(t *testing.T) {
+	core := reader(t)
+	lost := []directory.LostPolicy{{Policy: &apiv1.Policy{Name: "one"}}, {Policy: &apiv1.Policy{Name: "two"}}}
+	core.SetLost(lost)
+	tried := make(map[string]bool)
+	for now := after(500); len(tried) < 2; now = now.Add(2 * time.Second) {
+		core.Confirm(now)
+		write, found := core.NextWrite(now)
+		require.True(t, found)
+		tried[write.Policy.Policy.GetName()] = true
+		core.WriteEnded(write, true, now)
+		require.Less(t, now.Sub(start), time.Minute)
+	}
+	core.SetLost(nil)
+	core.Confirm(after(70_000))
+	_, found := core.NextWrite(after(70_000))
+	require.False(t, found)
+}
--- a/internal/replication/zoneleads_test.go
+++ b/internal/replication/zoneleads_test.go
@@ -81,6 +81,10 @@
 	require.Len(t, core.leadsToWrite(now.Add(leadsPause)), 1, "the first one has gone")
 	core.SetBalancers(zone, now)
 	require.Len(t, core.leadsToWrite(now.Add(leadsRenewed)), 1)
+	core.leadsWritten(core.leadsToWrite(now.Add(leadsRenewed)), false, now)
+	require.Empty(t, core.leadsToWrite(now.Add(leadsPause)))
+	core.StoreRestored(zone, now)
+	require.Len(t, core.leadsToWrite(now.Add(leadsPause)), 1, "the store may have lost it")
 	core.SetBalancers(zone[:leadsCount], now)
 	require.Empty(t, core.leadsToWrite(now.Add(leadsRenewed)), "small zones are read whole")
 }
