Soak and a test of real processes: the store comes back from a copy

The soak's storms have drills too (store-drill): away up to 2.8 s, back from a copy a second older than that.

--- a/test/e2e/balancer_test.go
+++ b/test/e2e/balancer_test.go
@@ -41,6 +41,9 @@
 	backends map[string]*siteBackend
 	version  int
 	seeds    []string
+	// configuration is the one that operators wrote last, and copies are those of the store.
+	configuration []byte
+	copies        copies
 }
 
 // siteBackend is a back end and its entry in the store.
@@ -67,6 +70,7 @@
 	t.Cleanup(func() { _ = server.Close() })
 	go made.router.Run(ctx)
 	go made.beat()
+	go made.keepCopies()
 	var err error
 	made.client, err = echonet.StartClient(netip.MustParseAddrPort(base.ip(3, 1)+fmt.Sprintf(":%d", clientPort)), made.router, sumKey)
 	require.NoError(t, err)
@@ -141,6 +145,9 @@
 	}
 	value, _ := json.Marshal(map[string]any{"version": site.version, "routes": rows,
 		"limits": map[string]any{"idle_timeout_ms": 15000}})
+	site.mutex.Lock()
+	defer site.mutex.Unlock()
+	site.configuration = value
 	site.store.Put("op/config", value)
 }
 
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -34,14 +34,14 @@
 // A mute link carries no calls, a deaf one no answers.
 var stormSteps = []string{"kill", "lose", "pause", "kill-zone", "pause-zone", "kill-all", "pause-all",
 	"store-busy", "store-silent", "store-throttles", "store-slow", "store-late", "store-compacts",
-	"store-refuses-some", "store-throttles-some",
+	"store-refuses-some", "store-throttles-some", "store-drill",
 	"store-link-silent", "store-link-deaf", "store-link-mute", "store-link-reset",
 	"peer-link-silent", "peer-link-deaf", "peer-link-mute", "peer-link-reset", "peer-link-slow",
 	"crash", "crash-zone"}
 
 // waitedFor are the steps after whose length the next one begins.
 var waitedFor = map[string]bool{"pause": true, "pause-zone": true, "pause-all": true, "store-busy": true, "store-silent": true,
-	"store-throttles": true, "store-slow": true, "store-late": true,
+	"store-throttles": true, "store-slow": true, "store-late": true, "store-drill": true,
 	"peer-link-slow": true, "settings-faulty": true}
 
 // soakSteps are what is done at each step. It is filled at the start, since the
@@ -74,6 +74,8 @@
 		"store-late":      storeStep(metadata.Faults{LateWrites: lateTime}),
 		"store-compacts":  func(soak *soak, _ event) { soak.store.Compact() },
 
+		"store-drill": func(soak *soak, next event) { soak.drill(next.length) },
+
 		"store-refuses-some":   someStep(metadata.Faults{Busy: true}),
 		"store-throttles-some": someStep(metadata.Faults{Throttled: true}),
 
