A back end is no colder after a drill than before it

Callers would have been kept off warm back ends for as long as the copy says that they are cold: the copy shows what is left of a warm-up as of seconds ago, and it counted anew from when that was heard.

--- a/internal/directory/eras.go
+++ b/internal/directory/eras.go
@@ -164,6 +164,9 @@
 		return endedFor
 	case saidDraining(before) && !shown.GetGone() && !shown.GetBackend().GetDraining():
 		return endedFor
+	case !shown.GetBackend().GetDraining() && !sameContent(before, shown):
+		// The copy may show it colder than it is by now.
+		return lostFor
 	}
 	return 0
 }
