A copy brings no earlier start of a back end back

Callers would have had open flows reset though their back end served on: its entry had gone, and the copy showed its earlier start, which counted as one more start. An earlier start is now told from a later one also where that has gone, if what shows it is a copy. TestACopyBringsNoEarlierStartBack failed before (the entry was taken), and passes.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -233,7 +233,7 @@
 	if namesOnly(change) {
 		return d.setAside(key, known, change.GetRevision())
 	}
-	if known.outdates(change, now) {
+	if known.outdates(change, from) {
 		d.contest(key, known, change.GetRevision())
 		return false
 	}
--- a/internal/directory/starts.go
+++ b/internal/directory/starts.go
@@ -21,10 +21,13 @@
 }
 
 // outdates tells whether a change with a higher revision comes from an earlier start of a
-// back end, and its successor lives.
-func (e *entry) outdates(change *apiv1.DirectoryChange, now time.Time) bool {
+// back end: its successor lives, or what shows the earlier one is a copy of the store.
+func (e *entry) outdates(change *apiv1.DirectoryChange, from arrival) bool {
 	offered, known := startOf(change), startOf(e.change)
-	return !e.change.GetGone() && offered != 0 && offered < known && now.Sub(e.heardAt) < lateWrite
+	if offered == 0 || offered >= known {
+		return false
+	}
+	return from.entering || !e.change.GetGone() && from.at.Sub(e.heardAt) < lateWrite
 }
 
 // hear takes that a change of the known start has come, or one of another start.
