--- a/cmd/standin/tokens.go
+++ b/cmd/standin/tokens.go
@@ -35,7 +35,7 @@
 func metadataCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "metadata",
-		Usage: "metadata store; PUT and DELETE /operator/KEY write as operators and back ends do",
+		Usage: "metadata store; PUT and DELETE /operator/KEY write as operators and back ends do, POST /copy and /restore play a drill",
 		Flags: []cli.Flag{text("listen", "127.0.0.1:8169", "HTTP address")},
 		Action: func(ctx context.Context, command *cli.Command) error {
 			store := metadata.New(pageSize)
@@ -52,11 +52,30 @@
 			mux.HandleFunc("DELETE /operator/{key...}", func(_ http.ResponseWriter, request *http.Request) {
 				store.Remove(request.PathValue("key"))
 			})
+			addDrill(mux, store)
 			return serve(ctx, command.String("listen"), mux)
 		},
 	}
 }
 
+// addDrill lets callers take a copy of the store and put the store back to it. Back ends
+// write again by themselves, and operators have to.
+func addDrill(mux *http.ServeMux, store *metadata.Server) {
+	var mutex sync.Mutex
+	copied := store.Copy()
+	mux.HandleFunc("POST /copy", func(http.ResponseWriter, *http.Request) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		copied = store.Copy()
+	})
+	mux.HandleFunc("POST /restore", func(response http.ResponseWriter, _ *http.Request) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		store.Restore(copied)
+		fmt.Fprintln(response, "era", store.Era())
+	})
+}
+
 func tokenBackendCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "token-backend",
--- a/model/check.sh
+++ b/model/check.sh
@@ -60,6 +60,9 @@
 holds directory
 caught directory NO_LATE NO_BETWEEN NO_COMPARE NO_TOMBSTONE_RULE
 
+holds eras
+caught eras NO_ERA NO_VERSION NO_WATCH_ERA
+
 holds evidence
 caught evidence NO_PROMPT NO_ZONE NO_NUMBER NO_CLOCK NO_COMPARE_PROVEN ONE_CLIENT
 
