Soak of drills: the store comes back from copies in series, over which balancers come and go

Back ends that write their entries as they were raise no revision there, as in the platform's store, so that the count is not soon beyond what balancers knew.

--- a/internal/standin/metadata/metadata.go
+++ b/internal/standin/metadata/metadata.go
@@ -5,6 +5,7 @@
 package metadata
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"net"
@@ -115,6 +116,14 @@
 	return server.revision
 }
 
+// Holds tells whether a key has a value.
+func (server *Server) Holds(key string, value []byte) bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	held, found := server.items[key]
+	return found && bytes.Equal(held.Value, value)
+}
+
 // Remove removes a key.
 func (server *Server) Remove(key string) {
 	server.mutex.Lock()
--- a/test/e2e/balancer_test.go
+++ b/test/e2e/balancer_test.go
@@ -41,6 +41,9 @@
 	backends map[string]*siteBackend
 	version  int
 	seeds    []string
+	// quiet is set where a back end that writes its entry as it was changes nothing in the
+	// store, so that revisions rise by what changes alone.
+	quiet bool
 	// configuration is the one that operators wrote last, and copies are those of the store.
 	configuration []byte
 	copies        copies
@@ -95,9 +98,15 @@
 	if backend.silent {
 		return
 	}
+	if site.quiet {
+		seq = 0
+	}
 	value, _ := json.Marshal(map[string]any{"backend_pool": backend.Pool, "addr": backend.address.String(),
 		"zone": backend.zone, "version": "v1", "capacity": 2, "state": backend.state, "warmup_left_ms": 0, "seq": seq,
 		"born": backend.born})
+	if site.quiet && site.store.Holds("servers/"+id, value) {
+		return
+	}
 	site.store.Put("servers/"+id, value)
 }
 
--- a/test/e2e/plan_test.go
+++ b/test/e2e/plan_test.go
@@ -1,8 +1,10 @@
 package e2e
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -60,6 +62,46 @@
 	}
 }
 
+const (
+	// Drills come in series for stormTime, then planned work only for drillCalm, in which
+	// bounds in time are judged.
+	drillCalm = 9 * time.Second
+)
+
+// drillSteps overlap a drill: faults, and planned work, which meanwhile may be noticed.
+var drillSteps = []string{"kill", "kill-zone", "kill-all", "pause-zone", "store-compacts", "store-refuses-some", "store-link-silent",
+	"peer-link-silent", "crash", "stop", "leave", "vanish", "move", "settings"}
+
+// calmSteps are planned work that leaves the back ends room: what is refused or held up by it
+// is no burst's.
+var calmSteps = []string{"stop", "leave", "vanish", "move", "settings"}
+
+// makeDrillPlan makes the plan of a seed in which the store comes back from copies again and
+// again, while balancers and back ends come and go.
+func makeDrillPlan(seed int, length time.Duration) plan {
+	chance := rand.New(rand.NewPCG(uint64(seed), 3))
+	var made plan
+	add := func(at time.Duration, steps ...string) time.Duration {
+		next := event{at: at, step: steps[chance.IntN(len(steps))], place: chance.IntN(soakBalancers),
+			length: time.Duration(300+chance.IntN(2000)) * time.Millisecond}
+		made = append(made, next)
+		return next.length
+	}
+	pause := func() time.Duration { return time.Duration(150+chance.IntN(800)) * time.Millisecond }
+	for at := pause(); at < length; {
+		for storm := at + stormTime; at < storm; at += pause() {
+			away := add(at, "store-drill")
+			add(at+away/3, drillSteps...)
+			add(at+away/2, drillSteps...)
+			at += away
+		}
+		for calm := at + drillCalm; at < calm; at += 2 * pause() {
+			add(at, calmSteps...)
+		}
+	}
+	return made
+}
+
 // String writes a plan, one event a line, as parsePlan reads it; what was skipped is
 // marked.
 func (plan plan) String() string {
@@ -114,6 +156,9 @@
 		seen[next.step] = true
 	}
 	require.Len(t, seen, len(soakSteps))
+	drills := makeDrillPlan(7, 10*time.Minute)
+	require.Equal(t, drills, makeDrillPlan(7, 10*time.Minute))
+	require.True(t, slices.IsSortedFunc(drills, func(a, b event) int { return cmp.Compare(a.at, b.at) }))
 	for _, faulty := range []string{"1s kill", "1s nothing 0 1s", "1s kill 5 1s", "1 kill 0 1s"} {
 		_, err := parsePlan(faulty)
 		require.Error(t, err, faulty)
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -24,6 +24,8 @@
 	soakPlanVariable   = "INDIGOBARROW_SOAK_PLAN"
 	soakDefaultSeconds = 24
 	soakDefaultSeed    = 1
+	// drillDefaultSeconds is two series of drills.
+	drillDefaultSeconds = 30
 )
 
 const (
@@ -88,13 +90,29 @@
 		chosen, err = parsePlan(string(text))
 		require.NoError(t, err)
 	}
-	soak := newSoak(t, seed, chosen)
+	playSoak(t, newSoak(t, seed, chosen), seed)
+}
+
+// TestSoakOfDrills has the store come back from copies in series, over which balancers are
+// stopped, killed, cut off and changed, and judges what the callers saw.
+func TestSoakOfDrills(t *testing.T) {
+	seed := soakNumber(soakSeedVariable, soakDefaultSeed)
+	soak := newSoak(t, seed, makeDrillPlan(seed, time.Duration(soakNumber(soakSecondsVariable, drillDefaultSeconds))*time.Second))
+	soak.mutex.Lock()
+	soak.quiet = true
+	soak.mutex.Unlock()
+	playSoak(t, soak, seed)
+}
+
+// playSoak plays a plan before callers who keep their flows until their back ends have gone.
+func playSoak(t *testing.T, soak *soak, seed int) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	for number := range soakClients {
 		callers.Go(func() { soak.call(ctx, number) })
 	}
-	for step, next := range chosen {
+	for step, next := range soak.plan {
 		time.Sleep(time.Until(soak.began.Add(next.at)))
 		soak.step = step
 		soakSteps[next.step](soak, next)
