What is written again after a drill is a change, also where it is as the copy had it

Callers would have got less room for up to 10 s: a back end that had lapsed and wrote its entry as before was believed again in the directory, but no table was made by it, and followers were not told. Found by reading; TestAnEntryThatIsWrittenAgainAsItWasIsAChange failed before and passes.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -161,7 +161,7 @@
 	before := beliefIn(known)
 	changed := d.merge(key, change, from)
 	if known.change != before.told {
-		d.reconcile(key, known, before, from)
+		changed = d.reconcile(key, known, before, from) || changed
 	}
 	return changed
 }
@@ -189,12 +189,13 @@
 }
 
 // merge takes one change if it is newer than what is known. It tells whether
-// the content changed. The revision is taken in any case: another balancer may
-// have seen a change in between that this one missed. The log is not told of a
-// revision without a new content, since back ends write their entries all the
-// time: who knows what held at the start of a step has the same content, and who
-// saw something in between gets a complete batch. A late batch, one that is older
-// than what is known, brings no entry back: had it lasted, it would be known.
+// the content changed, or was written again while it was held against. The
+// revision is taken in any case: another balancer may have seen a change in
+// between that this one missed. The log is not told of a revision without a new
+// content, since back ends write their entries all the time: who knows what held
+// at the start of a step has the same content, and who saw something in between
+// gets a complete batch. A late batch, one that is older than what is known,
+// brings no entry back: had it lasted, it would be known.
 func (d *Directory) merge(key Key, change *apiv1.DirectoryChange, from arrival) bool {
 	late, now := from.late, from.at
 	if key.Kind == KindNone {
@@ -238,7 +239,7 @@
 		return false
 	}
 	known.hear(change, now)
-	same := !known.change.GetGone() && sameContent(known.change, change)
+	same := !known.change.GetGone() && known.held == nil && sameContent(known.change, change)
 	known.change = change
 	d.noteLost(key, known)
 	known.goneAt = time.Time{}
@@ -325,7 +326,7 @@
 		}
 		before := beliefIn(known)
 		changed = d.bury(key, known, batch.GetRevision(), from.at) || changed
-		d.reconcile(key, known, before, from)
+		changed = d.reconcile(key, known, before, from) || changed
 	}
 	return changed
 }
--- a/internal/directory/eras.go
+++ b/internal/directory/eras.go
@@ -128,15 +128,15 @@
 	return belief{told: known.change, change: known.believed(), goneAt: known.goneAt}
 }
 
-// reconcile decides what is believed of an entry after a change of it.
-func (d *Directory) reconcile(key Key, known *entry, before belief, from arrival) {
+// reconcile decides what is believed of an entry after a change of it. It tells whether the
+// entry is held or released by that.
+func (d *Directory) reconcile(key Key, known *entry, before belief, from arrival) bool {
 	limit := time.Duration(0)
 	if from.entering {
 		limit = heldFor(before.change, known.change)
 	}
 	if limit == 0 {
-		d.release(key, known)
-		return
+		return d.release(key, known)
 	}
 	known.held, known.heldUntil = before.change, from.at.Add(limit)
 	if before.change.GetGone() {
@@ -145,6 +145,7 @@
 	d.held[key] = known
 	d.expireAt(known.heldUntil)
 	d.touch(key)
+	return true
 }
 
 // heldFor is for how long what was known of an entry is held against what the copy shows; 0
@@ -176,10 +177,10 @@
 	return change.GetBackend().GetDraining() && !change.GetUnreadable()
 }
 
-// release lets an entry be what the store says.
-func (d *Directory) release(key Key, known *entry) {
+// release lets an entry be what the store says. It tells whether the entry was held.
+func (d *Directory) release(key Key, known *entry) bool {
 	if known.held == nil {
-		return
+		return false
 	}
 	known.held = nil
 	if !known.change.GetGone() {
@@ -187,6 +188,7 @@
 	}
 	delete(d.held, key)
 	d.touch(key)
+	return true
 }
 
 // releaseDue lets entries be what the store says whose time to be written again is over. It
@@ -198,8 +200,7 @@
 			d.expireAt(known.heldUntil)
 			continue
 		}
-		d.release(key, known)
-		released = true
+		released = d.release(key, known) || released
 	}
 	return released
 }
