Who was away takes what the store says of policies and back ends

Operators would have lost policies (by a test): a balancer that had heard nothing since before a drill, and came back as the one that reads the store, took what had been written since for the copy's, and wrote its own over it.

Cause: what a later era shows otherwise was held against it however long ago the copy was.

Why it holds now: what is known is held against a later era only by who heard what held at most 10 s before, and a policy with a higher number than the known one's is a later write in any case, since the copy's numbers are lower than those it lost.

TestWhoWasAwayWritesNoPolicyAgain and TestAPolicyWithAHigherNumberWasWrittenSince failed before and pass.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -71,6 +71,8 @@
 type Directory struct {
 	retention time.Duration
 	revision  uint64
+	// toldAt is when something last told what holds up to a revision.
+	toldAt time.Time
 	// forgotten is the highest revision of a tombstone that was dropped. Who
 	// knows less than that needs a complete batch.
 	forgotten uint64
@@ -131,7 +133,7 @@
 		return d.addUnknown(batch, now)
 	}
 	changed := false
-	from := arrival{late: batch.GetRevision() < d.revision, entering: d.entersEra(batch), at: now}
+	from := arrival{late: batch.GetRevision() < d.revision, entering: d.entersEra(batch, now), at: now}
 	for _, change := range batch.GetChanges() {
 		changed = d.take(change, from) || changed
 	}
@@ -139,6 +141,9 @@
 		changed = d.removeUnnamed(batch, from) || changed
 	}
 	d.rise(batch.GetRevision())
+	if batch.GetRevision() != 0 {
+		d.toldAt = now
+	}
 	return changed
 }
 
@@ -146,7 +151,8 @@
 type arrival struct {
 	// late is set when it is older than what is known.
 	late bool
-	// entering is set when it is the first one of a later era.
+	// entering is set when it is the first one of a later era, and what is known may be
+	// later than what it shows.
 	entering bool
 	at       time.Time
 }
@@ -376,53 +382,3 @@
 		d.expiry = end
 	}
 }
-
-// NeedsAll tells whether who knows everything up to a revision has to be told all entries;
-// with everything set, whether Everything tells it so.
-func (d *Directory) NeedsAll(after uint64, everything bool) bool {
-	return after == 0 || after < d.forgotten || d.between(after) || everything && after > d.revision
-}
-
-// Since returns what changed after a revision. When the asker may know of
-// entries whose removal can't be told, or knows nothing, the batch is complete.
-func (d *Directory) Since(after uint64) *apiv1.DirectoryBatch {
-	complete := d.NeedsAll(after, false)
-	batch := &apiv1.DirectoryBatch{Revision: d.revision, Complete: complete}
-	if complete {
-		for _, known := range d.entries {
-			batch.Changes = append(batch.Changes, known.change)
-		}
-		return batch
-	}
-	for _, logged := range d.log.since(after) {
-		known := d.entries[logged.key]
-		if known != nil && known.logged == logged.revision {
-			batch.Changes = append(batch.Changes, known.change)
-		}
-	}
-	d.log.compact(d.entries)
-	return batch
-}
-
-// Everything returns what changed after a revision, and all tombstones besides.
-// Who has read the store lacks only those. Who has read more of it than is known
-// here gets all entries: one that has gone meanwhile is not a tombstone here yet.
-func (d *Directory) Everything(after uint64) *apiv1.DirectoryBatch {
-	if after > d.revision {
-		after = 0
-	}
-	batch := d.Since(after)
-	if batch.GetComplete() {
-		return batch
-	}
-	named := make(map[Key]bool, len(batch.GetChanges()))
-	for _, change := range batch.GetChanges() {
-		named[KeyOf(change)] = true
-	}
-	for key, known := range d.tombstones {
-		if !named[key] {
-			batch.Changes = append(batch.Changes, known.change)
-		}
-	}
-	return batch
-}
--- a/internal/directory/eras.go
+++ b/internal/directory/eras.go
@@ -27,11 +27,17 @@
 	// endedFor is for how long an entry stays ended that the copy shows as it was before:
 	// until its back end would have been missed had it fallen silent, three times 3 s.
 	endedFor = 10 * time.Second
+	// awayFor is after how long without a word what is known is no longer held against a
+	// later era: who was away for longer may come long after the copy, and what it shows
+	// otherwise was written since. A drill takes some seconds.
+	awayFor = 10 * time.Second
 )
 
-// entersEra tells whether a batch is the first one of a later era.
-func (d *Directory) entersEra(batch *apiv1.DirectoryBatch) bool {
-	return d.revision != 0 && revision.EraOf(batch.GetRevision()) > revision.EraOf(d.revision)
+// entersEra tells whether a batch is the first one of a later era, and comes soon enough after the
+// last word of the earlier one for what is known to be later than what it shows.
+func (d *Directory) entersEra(batch *apiv1.DirectoryBatch, now time.Time) bool {
+	later := d.revision != 0 && revision.EraOf(batch.GetRevision()) > revision.EraOf(d.revision)
+	return later && now.Sub(d.toldAt) <= awayFor
 }
 
 // ofPastEra tells whether a batch speaks of an era that the store has left. It says nothing of
@@ -54,13 +60,17 @@
 }
 
 // reverts tells whether a change would put an older table of routes in force, or a policy
-// back to what the store's copy holds. Both stand until they have been written again.
+// back to what the store's copy holds. Both stand until they have been written again. A policy
+// whose number is above the known one's is not the copy's: that one was given out earlier.
 func (e *entry) reverts(change *apiv1.DirectoryChange, entering bool) bool {
 	if offered := change.GetRoutes(); offered != nil {
 		return offered.GetVersion() < e.change.GetRoutes().GetVersion()
 	}
 	offered := change.GetPolicy()
-	return offered != nil && entering && (change.GetGone() != e.change.GetGone() || !proto.Equal(offered, e.change.GetPolicy()))
+	if offered == nil || !entering || revision.NumberOf(change.GetRevision()) > revision.NumberOf(e.change.GetRevision()) {
+		return false
+	}
+	return change.GetGone() != e.change.GetGone() || !proto.Equal(offered, e.change.GetPolicy())
 }
 
 // believed is what holds of an entry: what the store says, or what is held against it.
