--- a/test/e2e/holds_test.go
+++ b/test/e2e/holds_test.go
@@ -14,7 +14,7 @@
 type holds struct {
 	mutex    sync.Mutex
 	away     []int
-	changing [soakBalancers]bool
+	changing map[int]bool
 }
 
 // takeAway holds balancers as away, if that may be.
@@ -43,6 +43,9 @@
 	if holds.changing[place] || slices.Contains(holds.away, place) {
 		return false
 	}
+	if holds.changing == nil {
+		holds.changing = make(map[int]bool)
+	}
 	holds.changing[place] = true
 	return true
 }
@@ -51,7 +54,7 @@
 func (holds *holds) changed(place int) {
 	holds.mutex.Lock()
 	defer holds.mutex.Unlock()
-	holds.changing[place] = false
+	delete(holds.changing, place)
 }
 
 // A changed settings file holds its own balancer only.
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -20,6 +20,8 @@
 const (
 	soakSecondsVariable = "INDIGOBARROW_SOAK_SECONDS"
 	soakSeedVariable    = "INDIGOBARROW_SOAK_SEED"
+	// soakBalancersVariable is how many balancers there are.
+	soakBalancersVariable = "INDIGOBARROW_SOAK_BALANCERS"
 	// soakPlanVariable is a file with a plan to play in place of the seed's.
 	soakPlanVariable   = "INDIGOBARROW_SOAK_PLAN"
 	soakDefaultSeconds = 24
@@ -29,15 +31,18 @@
 )
 
 const (
-	// soakNetworks are the loopback networks that soaks run in, by their seeds.
-	soakNetworks  = 50
-	soakBalancers = 5
-	soakLending   = 8
-	soakCovers    = 4
-	soakDesk      = 3
-	soakClients   = 24
-	soakRequests  = 12
-	soakPause     = 60 * time.Millisecond
+	// soakNetworks are the loopback networks that soaks run in, by their seeds. Soaks of
+	// drills have others: one process may play both, and back ends keep their addresses.
+	soakNetworks      = 50
+	soakFirstNetwork  = 20
+	drillFirstNetwork = soakFirstNetwork + soakNetworks
+
+	soakLending  = 8
+	soakCovers   = 4
+	soakDesk     = 3
+	soakClients  = 24
+	soakRequests = 12
+	soakPause    = 60 * time.Millisecond
 	// burstCallers ask the desk's back ends without a pause in a burst: some 900
 	// times a second in all. They can do 300.
 	burstCallers = 60
@@ -45,6 +50,9 @@
 	burstPause = 50 * time.Millisecond
 )
 
+// soakBalancers is how many balancers a soak has. The plans that are kept are for five.
+var soakBalancers = soakNumber(soakBalancersVariable, 5)
+
 // deskLoad is what a back end of the desk can do at a time.
 var deskLoad = echonet.Load{Slots: 2, Queue: 8, Work: 20 * time.Millisecond}
 
@@ -90,14 +98,15 @@
 		chosen, err = parsePlan(string(text))
 		require.NoError(t, err)
 	}
-	playSoak(t, newSoak(t, seed, chosen), seed)
+	playSoak(t, newSoak(t, soakFirstNetwork+seed%soakNetworks, chosen), seed)
 }
 
 // TestSoakOfDrills has the store come back from copies in series, over which balancers are
 // stopped, killed, cut off and changed, and judges what the callers saw.
 func TestSoakOfDrills(t *testing.T) {
 	seed := soakNumber(soakSeedVariable, soakDefaultSeed)
-	soak := newSoak(t, seed, makeDrillPlan(seed, time.Duration(soakNumber(soakSecondsVariable, drillDefaultSeconds))*time.Second))
+	chosen := makeDrillPlan(seed, time.Duration(soakNumber(soakSecondsVariable, drillDefaultSeconds))*time.Second)
+	soak := newSoak(t, drillFirstNetwork+seed%soakNetworks, chosen)
 	soak.mutex.Lock()
 	soak.quiet = true
 	soak.mutex.Unlock()
@@ -124,8 +133,8 @@
 	soak.judge(seed)
 }
 
-func newSoak(t *testing.T, seed int, chosen plan) *soak {
-	site := newSite(t, 20+seed%soakNetworks)
+func newSoak(t *testing.T, network int, chosen plan) *soak {
+	site := newSite(t, network)
 	made := &soak{site: site, plan: chosen, moved: "lending"}
 	made.history = history{pools: make(map[string][]poolSpan), leaving: make(map[string]time.Time), dead: make(map[string]time.Time),
 		crashed: make(map[string]bool),
