--- /dev/null
+++ b/internal/balancer/lapse_test.go
@@ -0,0 +1,33 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+)
+
+// Story: a back end's entry went while the balancer that reads the store was turned away. Another
+// one, in touch with the store all the while, read it in that one's place 1.3 s later, took what was
+// missing for lapsed in an outage, and sent the back end new flows for 2 s more: 3.05 s after it
+// had gone.
+//
+// Evidence: the log of a soak shows the read 1.31 s after the removal and a new flow 1.74 s after
+// the read; knowledge had been stale for 1.65 s, in which no entry can lapse, since one does after
+// three heartbeats of silence.
+func TestAGapTooShortToLapseGivesNoGrace(t *testing.T) {
+	control := newTestControl()
+	control.balancer.settings.Load().DrainMilliseconds = 3000
+	told := time.Now()
+	holds := routesBatch(5)
+	holds.Changes = append(holds.Changes, &apiv1.DirectoryChange{Revision: 4, Entry: &apiv1.DirectoryChange_Backend{
+		Backend: &apiv1.PoolBackend{Id: "i-1", Number: 1, Pool: "one", Zone: "maadi", Address: 1, Port: 1, Capacity: 1}}})
+	control.learn(&apiv1.DirectoryNews{Batch: holds, AsOfNanoseconds: control.nanoseconds(told)}, told)
+	read := told.Add(1650 * time.Millisecond)
+	control.learn(&apiv1.DirectoryNews{Batch: routesBatch(6), AsOfNanoseconds: control.nanoseconds(read)}, read)
+	require.True(t, control.known.Backends()[0].Gone)
+	lapse := control.lapse()
+	require.False(t, lapse.Until.After(told.Add(3*time.Second)), "new flows until %s after it may have gone", lapse.Until.Sub(told))
+}
