A gap too short for entries to lapse gives vanished back ends no more time

Cause: after any gap in what the store confirmed, entries that were missing counted as lapsed for lapse_milliseconds. An entry lapses after three heartbeats without a write; the last write may be one heartbeat before the gap, so nothing lapses within two heartbeats. The gap was 1.65 s, two heartbeats are 2.4 s.

Mend: no time to come back after a gap of less than two heartbeats; the platform tells the heartbeat, which becomes a setting. After a gap of two heartbeats or more that is shorter than the time of a leaving back end, lapsed entries take new flows until that time has passed since the gap began (TestLapsedEntriesHaveNoMoreTimeThanLeavingOnes; with the old code a gap of 2.5 s gave 4.5 s in place of 3). After longer gaps nothing changes: the store was away for whoever had that gap.

Looked for elsewhere: emptyGrace is a third of the time of a leaving back end and counts from when its end was learned.

--- a/internal/balancer/lapse_test.go
+++ b/internal/balancer/lapse_test.go
@@ -31,3 +31,29 @@
 	lapse := control.lapse()
 	require.False(t, lapse.Until.After(told.Add(3*time.Second)), "new flows until %s after it may have gone", lapse.Until.Sub(told))
 }
+
+// After a gap in which entries may have lapsed they have their time to come back, but none takes
+// new flows beyond the time of a leaving back end, counted from the last confirmation before the
+// gap, while that has not passed.
+func TestLapsedEntriesHaveNoMoreTimeThanLeavingOnes(t *testing.T) {
+	for _, each := range []struct{ gap, until time.Duration }{
+		{gap: 2300 * time.Millisecond, until: 0},
+		{gap: 2500 * time.Millisecond, until: 3 * time.Second},
+		{gap: 2900 * time.Millisecond, until: 3 * time.Second},
+		{gap: 10 * time.Second, until: 12 * time.Second},
+	} {
+		control := newTestControl()
+		loaded := control.balancer.settings.Load()
+		loaded.DrainMilliseconds, loaded.HeartbeatMilliseconds, loaded.LapseMilliseconds = 3000, 1200, 2000
+		told := time.Now()
+		for revision, at := range []time.Time{told, told.Add(each.gap)} {
+			control.learn(&apiv1.DirectoryNews{Batch: routesBatch(uint64(revision + 5)), AsOfNanoseconds: control.nanoseconds(at)}, at)
+		}
+		lapse := control.lapse()
+		if each.until == 0 {
+			require.Zero(t, lapse, "no entry lapses within %s", each.gap)
+			continue
+		}
+		require.InDelta(t, each.until.Seconds(), lapse.Until.Sub(told).Seconds(), 0.001, "after a gap of %s", each.gap)
+	}
+}
--- a/internal/balancer/renew.go
+++ b/internal/balancer/renew.go
@@ -58,17 +58,31 @@
 	return time.Duration(drain/emptyShare) * time.Millisecond
 }
 
-// lapse is the time in which entries that lapsed in the last outage of the
-// store may come back.
+// lapseHeartbeats is the least number of heartbeats after which the entry of a back
+// end that can't reach the store lapses: three without a write, the last of which may
+// have come one heartbeat before the gap.
+const lapseHeartbeats = 2
+
+// lapse is the time in which entries that lapsed in the last gap in what the store
+// confirmed may come back. In a gap shorter than entries take to lapse, those that
+// vanished were removed. After a gap shorter than a leaving back end has, entries may
+// have been removed while this balancer counted as in touch with the store, so that
+// they take no new flows beyond the time of a leaving back end.
 func (c *control) lapse() tokenroute.Lapse {
-	returned := c.core.ReturnedAt()
-	if returned.IsZero() || c.balancer.off.Has(mechanism.LapseGrace) {
+	gap, loaded := c.core.LastGap(), c.balancer.settings.Load()
+	if gap.Length() < lapseHeartbeats*milliseconds(loaded.GetHeartbeatMilliseconds()) || c.balancer.off.Has(mechanism.LapseGrace) {
 		return tokenroute.Lapse{}
 	}
-	length := time.Duration(c.balancer.settings.Load().GetLapseMilliseconds()) * time.Millisecond
-	return tokenroute.Lapse{Since: returned, Until: returned.Add(length)}
+	lapse := tokenroute.Lapse{Since: gap.Until, Until: gap.Until.Add(milliseconds(loaded.GetLapseMilliseconds()))}
+	drained := gap.From.Add(time.Duration(loaded.GetDrainMilliseconds() * float64(time.Millisecond)))
+	if drained.After(lapse.Since) && drained.Before(lapse.Until) {
+		lapse.Until = drained
+	}
+	return lapse
 }
 
+func milliseconds(number uint32) time.Duration { return time.Duration(number) * time.Millisecond }
+
 func (c *control) flowLife() time.Duration {
 	return seconds(c.balancer.settings.Load().GetFlowSeconds())
 }
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -112,9 +112,8 @@
 	// alone is set when this balancer had to read the store although another one
 	// should have, until it follows one again that has younger knowledge.
 	alone bool
-	// returnedAt is when the store was back after an outage: the first
-	// confirmation after knowledge had gone stale.
-	returnedAt time.Time
+	// gap is the last time in which knowledge had gone stale.
+	gap Gap
 	// caughtUp is set once a peer has told everything that it holds. From then
 	// on, what is new after a revision is enough, whoever tells it.
 	caughtUp bool
@@ -224,7 +223,7 @@
 		return false
 	}
 	if c.knows() && asOf.Sub(c.confirmedAt) > c.config.Pace.Stale {
-		c.returnedAt = asOf
+		c.gap = Gap{From: c.confirmedAt, Until: asOf}
 	}
 	if !c.knows() {
 		// Who answered meanwhile knows hardly more.
@@ -235,9 +234,17 @@
 	return true
 }
 
-// ReturnedAt is when the store was back after the last outage that this
-// balancer has seen; the zero time is never.
-func (c *Core) ReturnedAt() time.Time { return c.returnedAt }
+// Gap is a time between two confirmations by the store that was long enough for
+// knowledge to go stale. The zero value is none.
+type Gap struct {
+	From, Until time.Time
+}
+
+// Length is the time between the two confirmations.
+func (g Gap) Length() time.Duration { return g.Until.Sub(g.From) }
+
+// LastGap returns the last gap in what the store confirmed to this balancer.
+func (c *Core) LastGap() Gap { return c.gap }
 
 // NextPoll returns the call to make to the store now.
 func (c *Core) NextPoll(now time.Time) Poll {
--- a/internal/settings/balancer.go
+++ b/internal/settings/balancer.go
@@ -25,6 +25,7 @@
 		ConfigurationMilliseconds: 3000,
 		DrainMilliseconds:         3000,
 		LapseMilliseconds:         2000,
+		HeartbeatMilliseconds:     1200,
 	}
 }
 
@@ -69,6 +70,7 @@
 	checker.number("warmup_overshoot", loaded.GetWarmupOvershoot(), 0, 1000)
 	checker.number("warmup_slack", loaded.GetWarmupSlack(), 0, 1_000_000)
 	checker.between("lapse_milliseconds", loaded.GetLapseMilliseconds(), 0, 60_000)
+	checker.between("heartbeat_milliseconds", loaded.GetHeartbeatMilliseconds(), 1, 60_000)
 	checker.number("processor_cores", loaded.GetProcessorCores(), 0, 4096)
 	checker.number("link_megabits", loaded.GetLinkMegabits(), 0, 10_000_000)
 	if _, err := mechanism.Parse(loaded.GetWithout()); err != nil {
