--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -217,7 +217,7 @@
 	if summary != nil && now.Sub(summary.At) <= observedFor {
 		c.findings.own = summary.Findings
 	}
-	changed = c.observed.judge(c.findings.all(now), c.core.OrderSize()) || changed
+	changed = c.judgeHealth(now) || changed
 	changed = c.divide(now) || changed
 	if changed {
 		c.balancer.logger.Debug("Control: shares change.", "unwell", len(c.observed.unwell), "demand", c.observed.describe(),
--- /dev/null
+++ b/internal/balancer/unwell.go
@@ -0,0 +1,39 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/indigobarrow/indigobarrow/internal/incarnation"
+	"github.com/indigobarrow/indigobarrow/internal/observe"
+)
+
+// judgeHealth judges back ends by what all balancers found of them, and tells whether the
+// table should be made anew.
+func (c *control) judgeHealth(now time.Time) bool {
+	before, found := c.observed.unwell, c.findings.all(now)
+	changed := c.observed.judge(found, c.core.OrderSize())
+	for backend, health := range c.observed.unwell {
+		if before[backend].Well() {
+			c.tellHealth("Control: back end counts as unwell.", backend, health, found[backend])
+		}
+	}
+	for backend := range before {
+		if c.observed.unwell[backend].Well() {
+			c.tellHealth("Control: back end counts as well again.", backend, observe.Health{}, found[backend])
+		}
+	}
+	return changed
+}
+
+// tellHealth writes to the log by what evidence the health of a back end changed.
+func (c *control) tellHealth(message string, backend incarnation.ID, health observe.Health, found observe.Finding) {
+	name, pool := "", ""
+	if table := c.balancer.table.Load(); table != nil {
+		if known := table.Backend(backend); known != nil {
+			name, pool = known.ID, known.Pool
+		}
+	}
+	c.balancer.logger.Info(message, "backend", name, "pool", pool, "failing", rounded(health.Failing), "slow", rounded(health.Slow),
+		"failing_part", rounded(found.Failing.Part), "failing_evidence", rounded(found.Failing.Evidence),
+		"slow_part", rounded(found.Slow.Part), "slow_evidence", rounded(found.Slow.Evidence))
+}
