What health takes off weights is bounded by what the others can bear

Cause: each unwell back end lost its weight by itself, down to 0.02, however many there were. The same factors left 2.08 of 6 slots as room, so that the pool seemed short of room and new flows were refused.

Mend: of a place, or of a pool where places are small, half of the weight is kept in any case, more where a picture of the demand says that the others would be filled beyond fullUse, and 0.8 at most, since a failed request may be lost and a shed one is not. So the well take twice their share at most, a quarter more where room is short, at 3 back ends as at 10,000 (a property test). Room is counted with the same factors, and the table follows the demand.

--- a/internal/balancer/observed.go
+++ b/internal/balancer/observed.go
@@ -43,6 +43,8 @@
 	// healthWeights the factors below 1 that the table in force was made with.
 	unwell        map[incarnation.ID]observe.Health
 	healthWeights map[incarnation.ID]float64
+	// reliefs bound what is taken off by health.
+	reliefs reliefs
 	// balancers is how many there are in the zone, this one included.
 	balancers int
 }
@@ -57,8 +59,8 @@
 	o.zones = zones
 	o.parts = o.planned
 	clear(o.healthWeights)
-	for backend, health := range o.unwell {
-		o.healthWeights[backend] = shares.HealthWeight(health)
+	for backend := range o.unwell {
+		o.healthWeights[backend] = o.healthWeight(backend)
 	}
 	clear(o.remote)
 	for name, zone := range zones {
@@ -103,7 +105,11 @@
 
 // healthWeight is the factor for the weight of a back end.
 func (o *observed) healthWeight(backend incarnation.ID) float64 {
-	return shares.HealthWeight(o.unwell[backend])
+	health, unwell := o.unwell[backend]
+	if !unwell {
+		return 1
+	}
+	return shares.RelievedWeight(shares.HealthWeight(health), o.reliefs.of(backend))
 }
 
 // use is the part of the slots of a pool in this zone that are in use.
