Quick errors of one back end make no other one slow

Cause: what is slow was told by the half of the back ends with the fewest slow answers, at whatever time gave the most evidence. Beside a back end that answers half of its requests at once, "slow" was what nearly all answers of the others were, and as a part of what was left their excess came to 1.0.

Mend: an end of the scale where half of the usual answers lie tells nothing of who has more there. Left, by arithmetic and not played: where two of six answer everything at once, the usual part is a third and the others still count as slow; the bound on what health takes off holds then.

--- a/internal/observe/compare.go
+++ b/internal/observe/compare.go
@@ -10,6 +10,9 @@
 	// with, and leastCompared how many such back ends there must be.
 	leastAnswers  = 8
 	leastCompared = 3
+	// mostUsual is the usual part of the answers from which on an end of the scale tells
+	// nothing of those that have more there: the answers beside it are the unusual ones.
+	mostUsual = 0.5
 )
 
 // Compare compares the answers of the back ends of a pool and returns what it
@@ -48,6 +51,9 @@
 		if !known {
 			return found
 		}
+		if usual >= mostUsual {
+			return found
+		}
 		for index, end := range ends {
 			ratio := end.evidenceAgainst(usual)
 			if ratio > found[index].Evidence {
--- a/internal/observe/compare_test.go
+++ b/internal/observe/compare_test.go
@@ -160,3 +160,15 @@
 		Compare(pool)
 	}
 }
+
+// Story: of three back ends one answered half of its requests with an error, at once, or shed
+// them. Beside it the other two counted as slow in all of their answers, and it got their flows.
+func TestQuickErrorsOfOneBackendMakeNobodySlow(t *testing.T) {
+	for seed := range uint64(20) {
+		judged := compareAll([]answering{{failing: 0.5}, {}, {}}, 300, seed)
+		require.InDelta(t, 0.5, judged[0].Failing, 0.2)
+		for _, well := range judged[1:] {
+			require.True(t, well.Well(), "%+v", well)
+		}
+	}
+}
