What a saturated pool answers is no evidence against a back end

Cause: answers were tallied whatever the load. In a burst the busier back ends shed more, and a shed answer is shorter, so they counted as failing; queues made some slow; and since counts fade by time alone, a back end with few answers after the burst went on to look slow beside those whose counts were diluted.

Mend: while a pool has no free slot, by the picture of all or before it by what waits here, and for a second after it, answers that have not settled are forgotten; those of the last one to two seconds before are among them, since a burst is known a moment late.

--- a/internal/balancer/admission.go
+++ b/internal/balancer/admission.go
@@ -21,10 +21,12 @@
 	pressures pressures
 	// short are the pools that some flows are refused of.
 	short map[string]bool
+	// saturatedUntil is until when pools that had no free slot count as saturated.
+	saturatedUntil map[string]time.Time
 }
 
 func newGate() gate {
-	return gate{core: admission.NewGate(), pressures: pressures{newFollowed()}}
+	return gate{core: admission.NewGate(), pressures: pressures{newFollowed()}, saturatedUntil: make(map[string]time.Time)}
 }
 
 // takeRoutes takes the routes that are in force.
@@ -40,14 +42,37 @@
 	}
 }
 
+// saturatedFor is for how long a pool that had no free slot counts as saturated: until the
+// answers of that time have been compared and forgotten.
+const saturatedFor = time.Second
+
+// saturated are the pools that are saturated, or were a moment ago.
+func (g *gate) saturated(zone demand.Zone, picture *demand.Picture, now time.Time) map[string]bool {
+	for pool := range picture.Pools() {
+		if g.pressures.saturated(pool, zone, picture) {
+			g.saturatedUntil[string(pool)] = now.Add(saturatedFor)
+		}
+	}
+	found := make(map[string]bool)
+	for pool, until := range g.saturatedUntil {
+		if now.After(until) {
+			delete(g.saturatedUntil, pool)
+			continue
+		}
+		found[pool] = true
+	}
+	return found
+}
+
 // admit moves the gate by what was observed and hands its levels to traffic.
 func (c *control) admit(summary *observe.Summary, now time.Time) {
-	if c.balancer.off.Has(mechanism.Admission) {
-		return
-	}
 	c.gate.pressures.follow(summary)
 	picture := c.demand.picture.Load()
 	zone := demand.Zone(c.balancer.settings.Load().GetZone())
+	c.balancer.traffic.flows.Saturate(c.gate.saturated(zone, picture, now))
+	if c.balancer.off.Has(mechanism.Admission) {
+		return
+	}
 	var demands []admission.Demand
 	for pool := range picture.Pools() {
 		if urgencies := c.gate.urgencies[string(pool)]; len(urgencies) > 0 {
--- a/internal/balancer/pressure.go
+++ b/internal/balancer/pressure.go
@@ -64,6 +64,33 @@
 	return admission.Pressure{Waiting: waiting / room, SeenAt: seenAt}
 }
 
+const (
+	// saturatedAt is the pressure that a picture shows of a pool without a free slot.
+	saturatedAt = 1.0
+	// saturatedHere is the pressure from which on what waits here is taken to show the same
+	// before the picture does, if saturatedWaiting requests wait at least: what is seen of it
+	// here is uncertain by a third.
+	saturatedHere    = 1.5
+	saturatedWaiting = 2.0
+)
+
+// saturated tells whether a pool has no free slot, as far as is known. It errs towards
+// saturation, by which answers count for nothing for a while.
+func (p *pressures) saturated(pool demand.Pool, own demand.Zone, picture *demand.Picture) bool {
+	if picture == nil {
+		return false
+	}
+	waiting, room := picture.Whole(pool)
+	if room == 0 {
+		return false
+	}
+	if waiting >= saturatedAt*room {
+		return true
+	}
+	part, here := askedPart(pool, own, picture), p.waiting[string(pool)]
+	return part > 0 && here >= saturatedWaiting && here*float64(picture.Zones[own])/part >= saturatedHere*room
+}
+
 // askedPart is the part of what is asked of a pool that the clients of a zone ask, by the
 // balancers that the picture has. Others may be gone, and what they carried passes those
 // that are left: to take them for as busy made pressure of a roll of half the machines.
--- a/internal/balancer/pressure_test.go
+++ b/internal/balancer/pressure_test.go
@@ -94,3 +94,25 @@
 	}
 	require.InDelta(t, 2, seen(1, now).on("lending", "maadi", few, listed).Waiting, 1e-9, "not 45")
 }
+
+// A burst is known here before the picture tells of it, and for a moment after it has ended.
+func TestPoolIsSaturatedWhileItHasNoFreeSlot(t *testing.T) {
+	now := time.Now()
+	idle := uneven(now)
+	idle.Places = map[demand.Place]demand.Load{
+		{Pool: "lending", Zone: "maadi"}: {Asks: 100, Waiting: 5},
+		{Pool: "lending", Zone: "giza"}:  {Asks: 300, Waiting: 5},
+	}
+	require.False(t, seen(0, now).saturated("lending", "maadi", nil), "no picture")
+	require.False(t, seen(0.5, now).saturated("lending", "maadi", idle))
+	require.True(t, seen(0, now).saturated("lending", "maadi", uneven(now)), "the picture shows it")
+	require.True(t, seen(3, now).saturated("lending", "maadi", idle), "36 of 20 slots, by what waits here")
+	require.False(t, seen(1.9, now).saturated("lending", "maadi", idle), "a few requests here tell nothing of all")
+	require.False(t, seen(50, now).saturated("covers", "maadi", idle), "no room is known")
+	made := newGate()
+	made.pressures = *seen(3, now)
+	require.True(t, made.saturated("maadi", idle, now)["lending"])
+	made.pressures = *seen(0, now)
+	require.True(t, made.saturated("maadi", idle, now.Add(saturatedFor))["lending"])
+	require.False(t, made.saturated("maadi", idle, now.Add(saturatedFor+time.Millisecond))["lending"])
+}
--- a/internal/observe/tally.go
+++ b/internal/observe/tally.go
@@ -39,6 +39,12 @@
 	t.times.fade(part)
 }
 
+// add adds the counts of another tally.
+func (t *Tally) add(other *Tally) {
+	t.lengths.plus(&other.lengths)
+	t.times.plus(&other.times)
+}
+
 // Empty tells whether next to nothing is counted any more.
 func (t *Tally) Empty() bool { return t.lengths.total < 0.5 && t.times.total < 0.5 }
 
@@ -61,6 +67,13 @@
 	h.total++
 }
 
+func (h *histogram) plus(other *histogram) {
+	for place, count := range other.counts {
+		h.counts[place] += count
+	}
+	h.total += other.total
+}
+
 func (h *histogram) fade(part float32) {
 	for place := range h.counts {
 		h.counts[place] *= part
--- a/internal/tokenroute/flows.go
+++ b/internal/tokenroute/flows.go
@@ -31,6 +31,8 @@
 	cold allowance
 	// levels say which new flows are refused for want of room.
 	levels atomic.Pointer[admission.Levels]
+	// saturated are the pools whose answers tell of their queues.
+	saturated atomic.Pointer[map[string]bool]
 	// table is the latest one, and restarted are the starts whose earlier flows were given
 	// up.
 	table     *Table
@@ -156,7 +158,7 @@
 	known := f.loads[backend.Incarnation()]
 	if known == nil {
 		known = &load{pool: f.poolUse(backend.Pool), place: f.placeAsked(backend.Pool, backend.Zone),
-			answers: make(map[flow.Address]*observe.Tally)}
+			answers: make(map[flow.Address]*observe.Answers)}
 		f.loads[backend.Incarnation()] = known
 	}
 	return known
@@ -165,7 +167,7 @@
 func (f *Flows) poolUse(name string) *poolUse {
 	known := f.pools[name]
 	if known == nil {
-		known = &poolUse{}
+		known = &poolUse{name: name}
 		f.pools[name] = known
 	}
 	return known
--- a/internal/tokenroute/memory.go
+++ b/internal/tokenroute/memory.go
@@ -54,7 +54,7 @@
 	// answers are those of the back end by the address that was asked: what is
 	// usual differs between addresses, and flows that last make some back ends
 	// serve one more than another.
-	answers map[flow.Address]*observe.Tally
+	answers map[flow.Address]*observe.Answers
 	finding observe.Finding
 }
 
@@ -62,15 +62,16 @@
 func (l *load) answersTo(address flow.Address) *observe.Tally {
 	known := l.answers[address]
 	if known == nil {
-		known = &observe.Tally{}
+		known = &observe.Answers{}
 		l.answers[address] = known
 	}
-	return known
+	return known.Latest()
 }
 
 // poolUse is what the flows that pass here use of a pool.
 type poolUse struct {
-	use observe.Use
+	name string
+	use  observe.Use
 }
 
 // attach counts a flow at the load of its back end.
--- a/internal/tokenroute/summary.go
+++ b/internal/tokenroute/summary.go
@@ -62,7 +62,7 @@
 	for _, known := range f.loads {
 		known.finding = observe.Finding{}
 		for address, answers := range known.answers {
-			if answers.Empty() {
+			if answers.Known().Empty() {
 				delete(known.answers, address)
 				continue
 			}
@@ -71,13 +71,34 @@
 		}
 	}
 	for question, loads := range asked {
-		tallies := make([]*observe.Tally, len(loads))
-		for place, known := range loads {
-			tallies[place] = known.answers[question.address]
-		}
-		for place, finding := range observe.Compare(tallies) {
-			loads[place].finding = loads[place].finding.Plus(finding.BeyondChance())
-			tallies[place].Fade(answersKept)
+		f.compareTo(question, loads)
+	}
+}
+
+// compareTo compares the answers of the back ends of a pool to one address. While the pool is
+// saturated, only those count that had settled before.
+func (f *Flows) compareTo(question question, loads []*load) {
+	saturated := f.isSaturated(question.pool.name)
+	tallies := make([]*observe.Tally, len(loads))
+	for place, known := range loads {
+		answers := known.answers[question.address]
+		if saturated {
+			answers.Forget()
 		}
+		tallies[place] = answers.Known()
+		answers.Settle(answersKept)
 	}
+	for place, finding := range observe.Compare(tallies) {
+		loads[place].finding = loads[place].finding.Plus(finding.BeyondChance())
+	}
+}
+
+// Saturate takes the pools that have no free slot. Requests wait in queues there, the longer
+// the busier their back end is, and what is shed is answered at once: neither tells which back
+// end is unwell. It may be called by any goroutine.
+func (f *Flows) Saturate(pools map[string]bool) { f.saturated.Store(&pools) }
+
+func (f *Flows) isSaturated(pool string) bool {
+	saturated := f.saturated.Load()
+	return saturated != nil && (*saturated)[pool]
 }
