--- a/internal/standin/echonet/client.go
+++ b/internal/standin/echonet/client.go
@@ -107,7 +107,7 @@
 		if err == nil {
 			flow.last = answer
 			flow.seq++
-			flow.send(FlagACK, answer.Seq+1, nil)
+			flow.send(FlagACK, answer.end(), nil)
 			return flow, nil
 		}
 	}
@@ -129,10 +129,10 @@
 	taken := func(packet Packet) bool { return packet.Ack == flow.seq+uint32(len(body)) }
 	answered := func(packet Packet) bool {
 		_, echoed, _ := strings.Cut(string(packet.Data), " ")
-		return echoed == body
+		return strings.TrimRight(echoed, filling) == body
 	}
 	for _, pause := range dataPauses {
-		flow.send(FlagACK, flow.last.Seq+1, []byte(body))
+		flow.send(FlagACK, flow.last.end(), []byte(body))
 		answer, err := flow.await(pause, func(packet Packet) bool { return taken(packet) || answered(packet) })
 		if err == nil && !answered(answer) {
 			answer, err = flow.await(answerWait, answered)
@@ -152,7 +152,7 @@
 func (flow *Flow) end(answer Packet, body string) (string, error) {
 	flow.last = answer
 	flow.seq += uint32(len(body))
-	flow.send(FlagACK, answer.Seq+1, nil)
+	flow.send(FlagACK, answer.end(), nil)
 	server, _, _ := strings.Cut(string(answer.Data), " ")
 	if server, shed := strings.CutPrefix(server, shedMark); shed {
 		return server, ErrShed
@@ -168,7 +168,7 @@
 }
 
 // Close ends the flow.
-func (flow *Flow) Close() { flow.send(FlagFIN|FlagACK, flow.last.Seq+1, nil) }
+func (flow *Flow) Close() { flow.send(FlagFIN|FlagACK, flow.last.end(), nil) }
 
 func (flow *Flow) await(pause time.Duration, wanted func(Packet) bool) (Packet, error) {
 	timeout := time.After(pause)
--- a/internal/standin/echonet/packet.go
+++ b/internal/standin/echonet/packet.go
@@ -91,3 +91,6 @@
 		Destination: packet.Source, DestinationPort: packet.SourcePort,
 	}
 }
+
+// end is the sequence number after a packet's data; a packet without data takes one.
+func (packet Packet) end() uint32 { return packet.Seq + uint32(max(1, len(packet.Data))) }
--- a/internal/standin/echonet/work.go
+++ b/internal/standin/echonet/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strings"
 	"time"
 )
 
@@ -13,8 +14,13 @@
 	Slots, Queue int
 	// Work is the time of a request.
 	Work time.Duration
+	// Length is the least length of an answer in bytes; one that sheds is shorter.
+	Length int
 }
 
+// filling fills up an answer.
+const filling = "\x00"
+
 // work is the requests of a back end.
 type work struct {
 	load Load
@@ -86,6 +92,9 @@
 		begun.answer = answer
 		return
 	}
+	if missing := load.Length - len(answer); missing > 0 {
+		answer = append(answer, strings.Repeat(filling, missing)...)
+	}
 	backend.work.inside++
 	time.AfterFunc(backend.reserve(time.Now()), func() {
 		backend.mutex.Lock()
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -181,7 +181,7 @@
 			soak.processes[place] = restarted
 			soak.record.Unlock()
 		}
-		soak.holds.back()
+		soak.holds.back(places)
 	})
 	return true
 }
@@ -198,7 +198,7 @@
 		for _, place := range places {
 			_ = soak.processes[place].command.Process.Signal(syscall.SIGCONT)
 		}
-		soak.holds.back()
+		soak.holds.back(places)
 	})
 }
 
--- a/test/e2e/holds_test.go
+++ b/test/e2e/holds_test.go
@@ -9,10 +9,12 @@
 )
 
 // holds tells which balancers are away, that is down or paused, and whose settings
-// file is changed. One step has balancers away at a time; a balancer isn't away while
-// its file is changed. The zero value holds none.
+// file is changed. One step has balancers away at a time, or several up to a limit of
+// balancers if one is set; a balancer isn't away while its file is changed. The zero
+// value holds none.
 type holds struct {
 	mutex    sync.Mutex
+	limit    int
 	away     []int
 	changing map[int]bool
 }
@@ -21,19 +23,19 @@
 func (holds *holds) takeAway(places []int) bool {
 	holds.mutex.Lock()
 	defer holds.mutex.Unlock()
-	changing := func(place int) bool { return holds.changing[place] }
-	if holds.away != nil || slices.ContainsFunc(places, changing) {
+	held := func(place int) bool { return holds.changing[place] || slices.Contains(holds.away, place) }
+	if len(holds.away) > 0 && len(holds.away)+len(places) > holds.limit || slices.ContainsFunc(places, held) {
 		return false
 	}
-	holds.away = places
+	holds.away = append(holds.away, places...)
 	return true
 }
 
-// back ends what takeAway began.
-func (holds *holds) back() {
+// back ends what takeAway began with the same places.
+func (holds *holds) back(places []int) {
 	holds.mutex.Lock()
 	defer holds.mutex.Unlock()
-	holds.away = nil
+	holds.away = slices.DeleteFunc(holds.away, func(place int) bool { return slices.Contains(places, place) })
 }
 
 // change holds a balancer as one whose settings file is changed, if that may be.
@@ -68,7 +70,14 @@
 	require.False(t, held.takeAway([]int{3}), "one is away")
 	require.False(t, held.change(1), "it is away")
 	require.True(t, held.change(3), "another is away")
-	held.back()
+	held.back([]int{1})
 	held.changed(2)
 	require.True(t, held.takeAway([]int{1, 2}))
+	several := holds{limit: 2}
+	require.True(t, several.takeAway([]int{0}))
+	require.False(t, several.takeAway([]int{0}), "it is away")
+	require.True(t, several.takeAway([]int{4}))
+	require.False(t, several.takeAway([]int{3}), "two are away")
+	several.back([]int{0})
+	require.True(t, several.takeAway([]int{3}))
 }
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -54,7 +54,7 @@
 var soakBalancers = soakNumber(soakBalancersVariable, 5)
 
 // deskLoad is what a back end of the desk can do at a time.
-var deskLoad = echonet.Load{Slots: 2, Queue: 8, Work: 20 * time.Millisecond}
+var deskLoad = echonet.Load{Slots: 2, Queue: 8, Work: 20 * time.Millisecond, Length: 600}
 
 // soak is a site under random faults, with callers and the record of what they
 // saw. The seed decides the plan; when processes are scheduled is not decided.
