--- a/internal/balancer/burst_test.go
+++ b/internal/balancer/burst_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/admission"
 	"github.com/indigobarrow/indigobarrow/internal/demand"
 	"github.com/indigobarrow/indigobarrow/internal/directory"
 	"github.com/indigobarrow/indigobarrow/internal/flow"
@@ -27,8 +28,9 @@
 	burstSlots = 2
 	burstQueue = 8
 	burstWork  = 20 * time.Millisecond
-	// pictureLag is how old the picture of all is.
-	pictureLag = 1500 * time.Millisecond
+	// burstUrgent and burstPatient are the addresses of two routes to the pool.
+	burstUrgent  = 1
+	burstPatient = 2
 	// calmCallers keep a flow for some requests with pauses, burstCallers ask without any.
 	calmCallers  = 10
 	burstCallers = 60
@@ -73,10 +75,12 @@
 	port  int
 	// served and shedding are the lengths of answers, the latter of errors too.
 	served, shedding uint32
-	// sheds counts the requests that were shed, by second, and found in how many looks each
-	// back end counted as unwell.
-	sheds map[int]int
-	found map[uint64]int
+	// lag is how old the picture of all is.
+	lag time.Duration
+	// sheds and refusals count the requests that were shed and the flows that were refused, by
+	// second, and found in how many looks each back end counted as unwell.
+	sheds, refusals map[int]int
+	found           map[uint64]int
 }
 
 type burstNode struct {
@@ -90,10 +94,13 @@
 
 func newBurstFleet(seed uint64, served, shedding uint32) *burstFleet {
 	made := &burstFleet{chance: rand.New(rand.NewPCG(seed, 0)), now: burstStart, known: directory.New(time.Minute),
-		served: served, shedding: shedding, share: [burstBackends]float64{1, 1, 1}, sheds: make(map[int]int), found: make(map[uint64]int)}
+		served: served, shedding: shedding, share: [burstBackends]float64{1, 1, 1}, lag: 1500 * time.Millisecond,
+		sheds: make(map[int]int), refusals: make(map[int]int), found: make(map[uint64]int)}
 	batch := routesBatch(5)
-	batch.Changes[0].GetRoutes().Routes = []*apiv1.ServiceRoute{{Name: "desk", Address: 1, Port: 443,
-		Pools: []*apiv1.PoolShare{{Pool: "desk", Weight: 1000}}}}
+	pools := []*apiv1.PoolShare{{Pool: "desk", Weight: 1000}}
+	batch.Changes[0].GetRoutes().Routes = []*apiv1.ServiceRoute{
+		{Name: "urgent", Address: burstUrgent, Port: 443, Pools: pools},
+		{Name: "patient", Address: burstPatient, Port: 443, Priority: 3, Pools: pools}}
 	for number := range uint64(burstBackends) {
 		batch.Changes = append(batch.Changes, &apiv1.DirectoryChange{Revision: 5, Entry: &apiv1.DirectoryChange_Backend{
 			Backend: &apiv1.PoolBackend{Id: fmt.Sprint("i-", number+1), Number: number + 1, Pool: "desk", Zone: "maadi",
@@ -102,6 +109,7 @@
 	made.known.Apply(batch, made.now)
 	for place := range made.nodes {
 		made.nodes[place] = burstNode{flows: tokenroute.NewFlows(mechanism.Set{}).InZone("maadi"), gate: newGate()}
+		made.nodes[place].gate.takeRoutes(made.known.Routes())
 	}
 	for range calmCallers {
 		made.callers = append(made.callers, &burstCaller{at: made.now})
@@ -159,9 +167,16 @@
 	b.port++
 	caller.node, caller.asked = b.chance.IntN(burstBalancers), 0
 	caller.packet = tokenroute.Packet{First: true, Key: flow.Key{Source: [4]byte{100, 64, byte(b.port >> 24), byte(b.port >> 16)},
-		SourcePort: uint16(b.port), Destination: [4]byte{0, 0, 0, 1}, DestinationPort: 443, Protocol: flow.ProtocolTCP}}
-	caller.backend = b.decide(caller).Backend
-	caller.at = b.now.Add(2 * time.Millisecond)
+		SourcePort: uint16(b.port), Destination: [4]byte{0, 0, 0, burstPatient}, DestinationPort: 443, Protocol: flow.ProtocolTCP}}
+	if b.chance.IntN(3) == 0 {
+		caller.packet.Key.Destination[3] = burstUrgent
+	}
+	decided := b.decide(caller)
+	caller.backend, caller.at = decided.Backend, b.now.Add(2*time.Millisecond)
+	if decided.Verdict == tokenroute.Refuse {
+		b.refusals[b.second()]++
+		caller.at = b.now.Add(50 * time.Millisecond)
+	}
 }
 
 func (b *burstFleet) decide(caller *burstCaller) tokenroute.Decision {
@@ -209,7 +224,7 @@
 	b.decide(caller)
 	caller.at = b.now.Add(60 * time.Millisecond)
 	if caller.shed {
-		b.sheds[int(b.now.Sub(burstStart).Seconds())]++
+		b.sheds[b.second()]++
 	}
 	if caller.until.IsZero() && caller.asked < 12 && !caller.shed {
 		return
@@ -242,10 +257,9 @@
 		}
 	}
 	b.pictures = append(b.pictures, all.WithRoom(map[demand.Place]float64{{Pool: "desk", Zone: "maadi"}: burstBackends * burstSlots}))
-	if late := len(b.pictures) - 1 - int(pictureLag/lookPause); late >= 0 {
+	if late := len(b.pictures) - 1 - int(b.lag/lookPause); late >= 0 {
 		for place := range b.nodes {
-			node := &b.nodes[place]
-			node.flows.Saturate(node.gate.saturated("maadi", b.pictures[late], b.now))
+			b.nodes[place].take(b.pictures[late], b.now)
 		}
 	}
 	judged := make(map[incarnation.ID]observe.Health)
@@ -259,10 +273,24 @@
 	b.renew()
 }
 
-// shedsBetween counts the requests that were shed from one second up to another.
-func (b *burstFleet) shedsBetween(from, until int) int {
+// take takes the picture of all.
+func (n *burstNode) take(picture *demand.Picture, now time.Time) {
+	n.flows.Saturate(n.gate.saturated("maadi", picture, now))
+	var demands []admission.Demand
+	for pool := range picture.Pools() {
+		demands = append(demands, admission.Demand{Pool: string(pool), Urgencies: n.gate.urgencies[string(pool)],
+			Pressure: n.gate.pressures.on(pool, "maadi", picture, listing{"maadi": burstBalancers})})
+	}
+	n.flows.Admit(n.gate.core.Step(demands, now))
+}
+
+// second is the second of now.
+func (b *burstFleet) second() int { return int(b.now.Sub(burstStart).Seconds()) }
+
+// between sums up what was counted from one second up to another.
+func between(counts map[int]int, from, until int) int {
 	sum := 0
-	for at, count := range b.sheds {
+	for at, count := range counts {
 		if at >= from && at < until {
 			sum += count
 		}
@@ -288,8 +316,8 @@
 					fleet.burst(2 * time.Second)
 					fleet.run(22 * time.Second)
 					require.Empty(t, fleet.found, "shares %d, seed %d", place, seed)
-					require.Positive(t, fleet.shedsBetween(8, 10))
-					require.Zero(t, fleet.shedsBetween(12, 30), "2 s after the burst all are served as before")
+					require.Positive(t, between(fleet.sheds, 8, 10))
+					require.Zero(t, between(fleet.sheds, 12, 30), "2 s after the burst all are served as before")
 				}
 			}
 		})
@@ -327,3 +355,20 @@
 		require.Len(t, fleet.unwell, 1)
 	}
 }
+
+// Story: 2 to 8 s after a burst flows were refused by pictures 1.5 to 2.5 s old. An old picture
+// shows that no slot is free, and what waits here now lets go.
+func TestNobodyIsRefusedAfterABurstByAnOldPicture(t *testing.T) {
+	for _, lag := range []time.Duration{1500 * time.Millisecond, 2500 * time.Millisecond, 3500 * time.Millisecond} {
+		for seed := range uint64(4) {
+			fleet := newBurstFleet(seed, 600, 140)
+			fleet.lag = lag
+			fleet.run(8 * time.Second)
+			fleet.burst(5 * time.Second)
+			fleet.run(15 * time.Second)
+			require.Zero(t, between(fleet.refusals, 0, 8), "before, lag %s, seed %d", lag, seed)
+			require.Positive(t, between(fleet.refusals, 8, 13), "in the burst")
+			require.Zero(t, between(fleet.refusals, 14, 30), "a second after it, lag %s, seed %d: %v", lag, seed, fleet.refusals)
+		}
+	}
+}
