Soak: a settings file is changed under a balancer that has read it at its start

Cause, by its log: it had been started 40 ms before the file was made faulty and read half of it at its start, so it ended ("line 5: peer_address"), as it must, and the plan took it for running. A step that starts a balancer now ends once it says Started.

--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -1,6 +1,8 @@
 package e2e
 
 import (
+	"os"
+	"strings"
 	"syscall"
 	"time"
 
@@ -22,6 +24,8 @@
 	refusalTime = 10 * time.Second
 	// turnPause is how often a planned stop asks whether it's its turn.
 	turnPause = 50 * time.Millisecond
+	// startTime is how long a start is waited for.
+	startTime = 5 * time.Second
 	// lookTime is within which a balancer takes a changed settings file.
 	lookTime = 3500 * time.Millisecond
 )
@@ -176,16 +180,30 @@
 			soak.trouble(places, 0, nil)
 		}
 		for _, place := range places {
-			restarted := soak.restart(soak.process(place))
-			soak.record.Lock()
-			soak.processes[place] = restarted
-			soak.record.Unlock()
+			soak.startAgain(place)
 		}
 		soak.holds.back(places)
 	})
 	return true
 }
 
+// startAgain starts a balancer and waits until it has read its settings file: one that starts
+// with a faulty file ends, as it must.
+func (soak *soak) startAgain(place int) {
+	skipped := soak.logSize(place)
+	restarted := soak.restart(soak.process(place))
+	soak.record.Lock()
+	soak.processes[place] = restarted
+	soak.record.Unlock()
+	for until := time.Now().Add(startTime); time.Now().Before(until); time.Sleep(turnPause) {
+		content, err := os.ReadFile(restarted.log.Name())
+		require.NoError(soak.t, err)
+		if strings.Contains(string(content[skipped:]), "msg=Started.") {
+			return
+		}
+	}
+}
+
 func (soak *soak) pause(places []int, length time.Duration) {
 	if !soak.holds.takeAway(places) {
 		soak.skip()
