Health limits: the usual words for what bounds it

Names only: the limit on what health takes off weights was called a relief. No change of what it does; the tests of shares and balancer pass.

--- a/internal/balancer/unwell.go
+++ b/internal/balancer/health.go
@@ -11,7 +11,7 @@
 // table should be made anew.
 func (c *control) judgeHealth(now time.Time) bool {
 	before, found := c.observed.unwell, c.findings.all(now)
-	c.observed.reliefs.plan(c.demand.picture.Load(), now)
+	c.observed.limits.plan(c.demand.picture.Load(), now)
 	changed := c.observed.judge(found, c.core.OrderSize())
 	for backend, health := range c.observed.unwell {
 		if before[backend].Well() {
--- a/internal/balancer/relief.go
+++ b/internal/balancer/healthlimits.go
@@ -9,10 +9,10 @@
 	"github.com/indigobarrow/indigobarrow/internal/shares"
 )
 
-// reliefs bound what health takes off the weights of back ends by what the others can bear.
+// healthLimits bound what health takes off the weights of back ends by what the others can bear.
 // A place with localEnough back ends or more is bounded by itself, since zones keep their new
 // flows; the others by their whole pool.
-type reliefs struct {
+type healthLimits struct {
 	// places are those of the back ends that are unwell and listed.
 	places map[incarnation.ID]demand.Place
 	// sums are those of the places that have such back ends, and pools those of their pools.
@@ -34,9 +34,9 @@
 	return healthSum{backends: s.backends + other.backends, slots: s.slots + other.slots, well: s.well + other.well}
 }
 
-// measureRelief sums up the back ends that take new flows, with each new table.
-func (c *control) measureRelief(evacuated map[string]uint64, warming *warming, now time.Time) {
-	made := reliefs{
+// measureHealth sums up the back ends that take new flows, with each new table.
+func (c *control) measureHealth(evacuated map[string]uint64, warming *warming, now time.Time) {
+	made := healthLimits{
 		places: make(map[incarnation.ID]demand.Place, len(c.observed.unwell)),
 		sums:   make(map[demand.Place]healthSum),
 		pools:  make(map[demand.Pool]healthSum),
@@ -49,11 +49,11 @@
 		}
 	}
 	made.plan(c.demand.picture.Load(), now)
-	c.observed.reliefs = made
+	c.observed.limits = made
 }
 
 // add sums up a group. Cold back ends bear little, and are no room.
-func (r *reliefs) add(group *directory.Group, seen *observed, warming *warming, now time.Time) {
+func (l *healthLimits) add(group *directory.Group, seen *observed, warming *warming, now time.Time) {
 	place, sum, unwell := placeOf(group.Place), healthSum{}, false
 	for _, backend := range group.Entries {
 		if backend.Gone || backend.GetDraining() || warming.bounded() && now.Before(warming.warmFrom(backend)) {
@@ -63,37 +63,37 @@
 		sum = sum.plus(healthSum{backends: 1, slots: slots, well: slots})
 		if health := seen.unwell[backend.Incarnation()]; !health.Well() {
 			unwell = true
-			r.places[backend.Incarnation()] = place
+			l.places[backend.Incarnation()] = place
 			sum.well -= slots * (1 - shares.HealthWeight(health))
 		}
 	}
-	r.pools[place.Pool] = r.pools[place.Pool].plus(sum)
+	l.pools[place.Pool] = l.pools[place.Pool].plus(sum)
 	if unwell {
-		r.sums[place] = sum
+		l.sums[place] = sum
 	}
 }
 
 // plan plans the parts by the demand of now, where a picture tells it.
-func (r *reliefs) plan(picture *demand.Picture, now time.Time) {
-	r.parts = make(map[demand.Place]float64, len(r.sums))
-	for place, sum := range r.sums {
+func (l *healthLimits) plan(picture *demand.Picture, now time.Time) {
+	l.parts = make(map[demand.Place]float64, len(l.sums))
+	for place, sum := range l.sums {
 		waiting := 0.0
 		if picture.Fresh(now) {
 			waiting = picture.Places[place].Waiting
 		}
 		if sum.backends < localEnough {
-			sum = r.pools[place.Pool]
+			sum = l.pools[place.Pool]
 			if picture.Fresh(now) {
 				waiting, _ = picture.Whole(place.Pool)
 			}
 		}
-		r.parts[place] = shares.Relief(sum.slots, sum.well, waiting)
+		l.parts[place] = shares.HealthLimit(sum.slots, sum.well, waiting)
 	}
 }
 
 // of is the part of what health takes off a back end that may be taken off.
-func (r *reliefs) of(backend incarnation.ID) float64 {
-	part, bounded := r.parts[r.places[backend]]
+func (l *healthLimits) of(backend incarnation.ID) float64 {
+	part, bounded := l.parts[l.places[backend]]
 	if !bounded {
 		return 1
 	}
--- a/internal/balancer/relief_test.go
+++ b/internal/balancer/healthlimits_test.go
@@ -68,7 +68,7 @@
 }
 
 // Where the slots are in use, less is taken off than where they are free, and the table follows.
-func TestReliefFollowsDemand(t *testing.T) {
+func TestHealthLimitFollowsDemand(t *testing.T) {
 	now := time.Now()
 	control := served(now, map[string]int{"maadi": 10})
 	require.True(t, control.observed.judge(slowOnes(5), 1))
--- a/internal/balancer/observed.go
+++ b/internal/balancer/observed.go
@@ -43,8 +43,8 @@
 	// healthWeights the factors below 1 that the table in force was made with.
 	unwell        map[incarnation.ID]observe.Health
 	healthWeights map[incarnation.ID]float64
-	// reliefs bound what is taken off by health.
-	reliefs reliefs
+	// limits bound what is taken off by health.
+	limits healthLimits
 	// balancers is how many there are in the zone, this one included.
 	balancers int
 }
@@ -109,7 +109,7 @@
 	if !unwell {
 		return 1
 	}
-	return shares.RelievedWeight(shares.HealthWeight(health), o.reliefs.of(backend))
+	return shares.LimitedWeight(shares.HealthWeight(health), o.limits.of(backend))
 }
 
 // use is the part of the slots of a pool in this zone that are in use.
--- a/internal/balancer/room.go
+++ b/internal/balancer/room.go
@@ -71,7 +71,7 @@
 		counts:   make(map[directory.Place]groupCount, len(counts)),
 	}
 	warming := c.newWarming(now)
-	c.measureRelief(evacuated, warming, now)
+	c.measureHealth(evacuated, warming, now)
 	own := c.balancer.settings.Load().GetZone()
 	for _, group := range c.known.Groups() {
 		if _, empty := evacuated[group.Zone]; empty {
--- a/internal/shares/relief.go
+++ b/internal/shares/healthlimit.go
@@ -11,11 +11,11 @@
 	keptWhenFull = 0.8
 )
 
-// Relief returns the part, 0 to 1, of what health takes off the weights of a number of back
+// HealthLimit returns the part, 0 to 1, of what health takes off the weights of a number of back
 // ends that may be taken off, so that the others can bear what is asked of them. Slots are
 // how many requests all of them handle at once, well those that remain by their health, and
 // demand is how many requests are at them at a time, or 0 where that is not known.
-func Relief(slots, well, demand float64) float64 {
+func HealthLimit(slots, well, demand float64) float64 {
 	if well >= slots {
 		return 1
 	}
@@ -23,6 +23,6 @@
 	return math.Min(1, (1-kept)*slots/(slots-well))
 }
 
-// RelievedWeight is the factor for the weight of a back end by its health, of which a part
+// LimitedWeight is the factor for the weight of a back end by its health, of which a part
 // may be taken off.
-func RelievedWeight(healthWeight, relief float64) float64 { return 1 - relief*(1-healthWeight) }
+func LimitedWeight(healthWeight, limit float64) float64 { return 1 - limit*(1-healthWeight) }
--- a/internal/shares/relief_test.go
+++ b/internal/shares/healthlimit_test.go
@@ -19,8 +19,8 @@
 		use := rapid.Float64Range(0, 5).Draw(t, "use")
 		slots := 2 * float64(count)
 		well := slots - 2*float64(unwell)*(1-health)
-		relief := Relief(slots, well, use*slots)
-		weight := RelievedWeight(health, relief)
+		limit := HealthLimit(slots, well, use*slots)
+		weight := LimitedWeight(health, limit)
 		kept := (2*float64(count-unwell) + 2*float64(unwell)*weight) / slots
 		require.GreaterOrEqual(t, weight, health-1e-9, "no more is taken off than health says")
 		require.LessOrEqual(t, weight, 1.0)
@@ -31,10 +31,10 @@
 }
 
 // A few unwell back ends among many that have room lose what their health says.
-func TestFewUnwellBackendsAreRelievedWhole(t *testing.T) {
-	require.Equal(t, 1.0, Relief(240, 240, 60), "none is unwell")
-	require.Equal(t, 1.0, Relief(240, 240-48*0.98, 96), "a fifth")
-	require.Equal(t, 1.0, Relief(240, 240-48*0.98, 2000), "a fifth, while room is short")
-	require.Equal(t, 1.0, Relief(6, 6-2*0.98, 0), "one of three, demand unknown")
-	require.InDelta(t, 3/(4*0.98), Relief(6, 6-4*0.98, 0), 1e-9, "two of three")
+func TestFewUnwellBackendsAreNotLimited(t *testing.T) {
+	require.Equal(t, 1.0, HealthLimit(240, 240, 60), "none is unwell")
+	require.Equal(t, 1.0, HealthLimit(240, 240-48*0.98, 96), "a fifth")
+	require.Equal(t, 1.0, HealthLimit(240, 240-48*0.98, 2000), "a fifth, while room is short")
+	require.Equal(t, 1.0, HealthLimit(6, 6-2*0.98, 0), "one of three, demand unknown")
+	require.InDelta(t, 3/(4*0.98), HealthLimit(6, 6-4*0.98, 0), 1e-9, "two of three")
 }
