What is asked here grows by another balancer's part at most

In a burst what is asked grows everywhere, and few asks at each of 60 balancers look like growth by chance, so pressure was taken for too low and more was shed.

Mend: the part of a balancer grows by n / (n - 1) when another one of n in its zone stops, and no more of the growth is put down to that.

--- a/internal/balancer/pressure.go
+++ b/internal/balancer/pressure.go
@@ -30,9 +30,8 @@
 // slowly: with the pressure of the picture itself a burst was refused half a second
 // later, and for a second after its end.
 //
-// The part changes at once where other balancers of the zone stop: what is asked here grows
-// then. So does a burst, but by the time that a picture shows that no slot is free, it is one
-// of the burst.
+// The part changes at once where another balancer of the zone stops: what is asked here grows
+// then, by the part that mostGrown allows.
 type pressures struct {
 	followed
 	asks asks
@@ -67,7 +66,7 @@
 	}
 	scale := float64(picture.Zones[own]) / part
 	if waiting >= leastWaiting*scale {
-		waiting = p.waiting[string(pool)] * scale / p.asks.grown(pool, picture.At)
+		waiting = p.waiting[string(pool)] * scale / min(p.asks.grown(pool, picture.At), mostGrown(picture.Zones[own]))
 	}
 	return admission.Pressure{Waiting: waiting / room, SeenAt: seenAt}
 }
@@ -82,6 +81,15 @@
 	saturatedWaiting = 1.0
 )
 
+// mostGrown is how many times the part of a balancer grows when another one of its zone stops.
+// What is asked grows in a burst too, so no more of it is put down to that.
+func mostGrown(balancers int) float64 {
+	if balancers < 2 {
+		return 2
+	}
+	return float64(balancers) / float64(balancers-1)
+}
+
 // saturated tells whether a pool has no free slot, as far as is known. It errs towards
 // saturation, by which answers count for nothing for a while.
 func (p *pressures) saturated(pool demand.Pool, own demand.Zone, picture *demand.Picture) bool {
