--- a/internal/balancer/healthlimits_test.go
+++ b/internal/balancer/healthlimits_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -85,3 +86,18 @@
 	control.renewTable(now)
 	require.Greater(t, control.observed.healthWeight(slow), 0.5)
 }
+
+// BenchmarkRoomWithUnwellBackends counts the room of a large fleet, with each new table, while some of
+// its back ends are unwell.
+func BenchmarkRoomWithUnwellBackends(b *testing.B) {
+	for _, unwell := range []int{0, 100} {
+		b.Run(fmt.Sprint(unwell), func(b *testing.B) {
+			now := time.Now()
+			control := sized(140_000, 100, 0, now)
+			control.observed.judge(slowOnes(unwell), 1)
+			for b.Loop() {
+				control.measureRoom(nil, now)
+			}
+		})
+	}
+}
