Traffic: exceptions for removed back ends end on time, even if the next table is late

A back end whose entry vanished may take new flows for a while: if its pool has no other, or after an outage of the store in which entries expire. The end of that time was a table build by the control goroutine. If that goroutine ran late, so did the end: with a time for leaving back ends of 3 s, data of 1.7 s and a grace of 0.7 s, a stall of a second lets new flows through until 3.4 s after the entry went.

The table now says when each of these back ends stops, and the traffic goroutine checks it for each new flow and each retransmission. Nothing else about the table changes.

TestIncrementalTableMatchesFullBuild compares the new field too; its call of refusalReason has one more argument, played both ways.

--- a/internal/tokenroute/builder.go
+++ b/internal/tokenroute/builder.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"time"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
 	"github.com/indigobarrow/indigobarrow/internal/admission"
@@ -29,6 +30,8 @@
 	sharedTokenPools map[string]bool
 	// restarted lists the back ends of which an earlier start was known.
 	restarted []*Backend
+	// acceptedUntil is when the back ends without an entry stop taking new flows.
+	acceptedUntil map[incarnation.ID]time.Time
 }
 
 var emptyTable = &Table{tokens: &tokenIndex{}}
@@ -46,6 +49,7 @@
 		poolZones:        make(map[directory.PoolZone]*poolZone),
 		pools:            make(map[string]*pool),
 		sharedTokenPools: make(map[string]bool),
+		acceptedUntil:    make(map[incarnation.ID]time.Time),
 	}
 	maps.Copy(b.sharedTokenPools, previous.sharedTokenPools)
 	backends := b.indexBackends()
--- a/internal/tokenroute/decide.go
+++ b/internal/tokenroute/decide.go
@@ -167,7 +167,8 @@
 	}
 	chosen := f.ChooseForFirst(route, packet.Key, now)
 	if chosen == nil {
-		return Decision{Verdict: Refuse, Reason: route.refusalReason(packet.Key.Hash())}
+		ended := func(backend *Backend) bool { return f.table.ended(backend, now) }
+		return Decision{Verdict: Refuse, Reason: route.refusalReason(packet.Key.Hash(), ended)}
 	}
 	return Decision{Verdict: Forward, Reason: ReasonNewFlow, Backend: chosen}
 }
--- a/internal/tokenroute/flows.go
+++ b/internal/tokenroute/flows.go
@@ -112,7 +112,7 @@
 	if o.openedBy != nil {
 		return o.openedBy
 	}
-	if o.count > 0 && (now.Sub(o.sentAt) < ResponseTimeout || o.count == maxAttempts) && route.Accepts(o.last()) {
+	if o.count > 0 && (now.Sub(o.sentAt) < ResponseTimeout || o.count == maxAttempts) && route.Accepts(o.last()) && !f.table.ended(o.last(), now) {
 		return o.last()
 	}
 	prefer := func(backend *Backend) Preference { return f.preference(o, backend, now) }
@@ -126,6 +126,9 @@
 
 // preference returns how willingly a new flow is sent to a back end.
 func (f *Flows) preference(o *flowOpening, backend *Backend, now time.Time) Preference {
+	if f.table.ended(backend, now) {
+		return Forbidden
+	}
 	warmupPreference := f.warmupLimiter.preference(backend, now)
 	if warmupPreference == Forbidden {
 		return Forbidden
--- a/internal/tokenroute/incremental_test.go
+++ b/internal/tokenroute/incremental_test.go
@@ -17,6 +17,7 @@
 func requireEquivalent(t require.TestingT, want, got *Table) {
 	require.Equal(t, want.RouteCount(), got.RouteCount())
 	require.Equal(t, want.RestartedBackends(), got.RestartedBackends())
+	require.Equal(t, want.acceptedUntil, got.acceptedUntil)
 	for token := Token(1); token <= 12; token++ {
 		require.Equal(t, want.tokens.backends(token), got.tokens.backends(token))
 		for address, route := range want.routes {
@@ -33,7 +34,10 @@
 			hash := key(port).Hash()
 			prefer := func(backend *Backend) Preference { return Preference((backend.Number + uint64(port)) % 4) }
 			require.Equal(t, route.Choose(hash, prefer, usage), other.Choose(hash, prefer, usage))
-			require.Equal(t, route.refusalReason(hash), other.refusalReason(hash))
+			for _, ended := range []bool{false, true} {
+				hasEnded := func(backend *Backend) bool { return ended && backend.Gone }
+				require.Equal(t, route.refusalReason(hash, hasEnded), other.refusalReason(hash, hasEnded))
+			}
 		}
 	}
 }
--- a/internal/tokenroute/poolzone.go
+++ b/internal/tokenroute/poolzone.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/indigobarrow/indigobarrow/internal/directory"
 	"github.com/indigobarrow/indigobarrow/internal/flow"
@@ -60,10 +61,14 @@
 		if entry.GetDraining() || !b.ownsToken(backend) {
 			continue
 		}
-		switch ready := !entry.Gone || b.options.StoreRecovery.covers(entry.RemovalSeenAt, b.options.Now); {
+		recovering := entry.Gone && b.options.StoreRecovery.covers(entry.RemovalSeenAt, b.options.Now)
+		switch {
 		case evacuated:
 			built.withheldByEvacuation = built.withheldByEvacuation || !entry.Gone
-		case ready:
+		case recovering:
+			b.acceptUntil(backend, b.options.StoreRecovery.Until)
+			built.eligible = append(built.eligible, backend)
+		case !entry.Gone:
 			built.eligible = append(built.eligible, backend)
 		}
 	}
@@ -71,6 +76,14 @@
 	return built
 }
 
+// acceptUntil limits the time for which a back end without an entry takes new flows. The limit
+// holds even if the next table is late.
+func (b *builder) acceptUntil(backend *Backend, until time.Time) {
+	if until.After(b.acceptedUntil[backend.Incarnation()]) {
+		b.acceptedUntil[backend.Incarnation()] = until
+	}
+}
+
 // mayReturn reports whether a back end whose entry disappeared may still take new flows for some
 // time.
 func (b *builder) mayReturn(entry *directory.BackendEntry) bool {
@@ -85,6 +98,7 @@
 		entry := &group.Entries[i]
 		recent := entry.Gone && b.options.Now.Sub(entry.RemovalSeenAt) < b.options.EmptyPoolGrace
 		if recent && !zone.evacuated && !entry.GetDraining() && b.ownsToken(zone.backends[i]) {
+			b.acceptUntil(zone.backends[i], entry.RemovalSeenAt.Add(b.options.EmptyPoolGrace))
 			built.eligible = append(built.eligible, zone.backends[i])
 		}
 	}
--- a/internal/tokenroute/table.go
+++ b/internal/tokenroute/table.go
@@ -74,6 +74,9 @@
 	sharedTokenPools map[string]bool
 	// restarted lists the back ends of which an earlier start was known.
 	restarted []*Backend
+	// acceptedUntil is when the back ends without an entry that may still take new flows stop
+	// taking them. Flows checks it for each new flow, since the next table may be late.
+	acceptedUntil map[incarnation.ID]time.Time
 }
 
 // Route describes how the flows to one address are routed.
@@ -168,6 +171,7 @@
 		poolZones:        builder.poolZones,
 		sharedTokenPools: builder.sharedTokenPools,
 		restarted:        builder.restarted,
+		acceptedUntil:    builder.acceptedUntil,
 	}
 	for _, route := range routes.GetRoutes() {
 		address := AddressOf(route)
@@ -312,13 +316,19 @@
 	return false
 }
 
+// ended reports whether a back end without an entry has stopped taking new flows since the table
+// was built.
+func (t *Table) ended(backend *Backend, now time.Time) bool {
+	return backend.Gone && !now.Before(t.acceptedUntil[backend.Incarnation()])
+}
+
 // refusalReason returns why no back end was found for a new flow.
-func (r *Route) refusalReason(hash uint64) Reason {
+func (r *Route) refusalReason(hash uint64, ended func(*Backend) bool) Reason {
 	chosen := r.poolFor(hash)
 	switch {
 	case chosen == nil:
 		return ReasonNoBackend
-	case chosen.acceptsAny(hash):
+	case chosen.acceptsAny(hash, ended):
 		return ReasonCold
 	case chosen.withheld:
 		return ReasonEvacuated
@@ -327,8 +337,9 @@
 }
 
 // acceptsAny reports whether some back end could take a new flow if warmup limits are ignored.
-func (p *pool) acceptsAny(hash uint64) bool {
-	return slices.ContainsFunc(p.rules, func(each *rule.Rule) bool { return each.Pick(hash) != rule.NoBackend })
+func (p *pool) acceptsAny(hash uint64, ended func(*Backend) bool) bool {
+	var first [1]rule.RankedCandidate
+	return p.topCandidates(hash, first[:], ended) > 0
 }
 
 // leastLoaded returns the back end with the lowest load relative to its weight.
--- a/internal/tokenroute/tokenroute_test.go
+++ b/internal/tokenroute/tokenroute_test.go
@@ -156,6 +156,26 @@
 	require.Equal(t, ReasonNoBackend, flows.Decide(NewTable(entries, late), firstPacket(1), start).Reason)
 }
 
+// Guards against new flows to back ends that are gone while the control goroutine is late: a table
+// that was due to be replaced stays in use, but its exceptions for back ends without an entry end.
+func TestExceptionsForRemovedBackendsEndWithoutNewTable(t *testing.T) {
+	recovery := defaultOptions()
+	recovery.StoreRecovery = StoreRecovery{Since: start, Until: at(2000)}
+	entries := disappearingPool()
+	table := NewTable(entries, recovery)
+	require.Equal(t, map[uint64]bool{7: true, 8: true, 9: true}, chosenBackendsAt(table, at(1999)))
+	require.Equal(t, map[uint64]bool{8: true, 9: true}, chosenBackendsAt(table, at(2000)))
+	entries.Apply(&apiv1.DirectoryBatch{Revision: 112, Changes: []*apiv1.DirectoryChange{
+		gone(backend(111, 8, "lending")), gone(backend(112, 9, "lending"))}}, start)
+	table = NewTable(entries, defaultOptions())
+	require.Equal(t, map[uint64]bool{7: true, 8: true, 9: true}, chosenBackendsAt(table, at(1499)))
+	require.Equal(t, Decision{Verdict: Refuse, Reason: ReasonNoBackend}, NewFlows(mechanism.Set{}).Decide(table, firstPacket(1), at(1500)))
+
+	flows := NewFlows(mechanism.Set{})
+	require.Equal(t, Forward, flows.Decide(table, firstPacket(1), at(1450)).Verdict)
+	require.Equal(t, Refuse, flows.Decide(table, firstPacket(1), at(1550)).Verdict, "a retransmission is not an exception")
+}
+
 // A tombstone that was received as such may be of any age, so there is no grace period (soak seeds
 // 22 and 23).
 func TestReceivedTombstonesHaveNoGracePeriod(t *testing.T) {
@@ -164,11 +184,13 @@
 	require.Equal(t, map[uint64]bool{9: true}, chosenBackends(NewTable(entries, defaultOptions())))
 }
 
-func chosenBackends(table *Table) map[uint64]bool {
+func chosenBackends(table *Table) map[uint64]bool { return chosenBackendsAt(table, start) }
+
+func chosenBackendsAt(table *Table, now time.Time) map[uint64]bool {
 	seen := make(map[uint64]bool)
 	flows := NewFlows(mechanism.Set{})
 	for port := range 300 {
-		seen[flows.Decide(table, firstPacket(port), start).Backend.Number] = true
+		seen[flows.Decide(table, firstPacket(port), now).Backend.Number] = true
 	}
 	return seen
 }
