Replication: tries of the store leave time for a control goroutine a second late

A balancer has tried the store by three quarters of the deadline. With a deadline of 3 s that leaves 0.75 s, so a control goroutine that runs a second late once, for want of a processor, is late for the deadline: with 60 balancers listed the data of the served one got 3.08 s old in virtual time.

ReadAge now also leaves 1.25 s: a second for the goroutine, the rest for a ping, a read and a table build. Where the deadline is too short for that, the tries keep a quarter of a poll interval to be spread over.

TestServedBalancerIsCurrentThoughControlIsLate (3, 11, 60, 88, 330, 985 and 12,000 listed; a second late before the ping, or between ping and read) failed with ReadAge as it was: 3.08 s at 60 listed with 3 s, bound 2.95 s. TestDataStaysFreshAtAnyPollInterval, unchanged, holds.

--- a/internal/replication/fleet_test.go
+++ b/internal/replication/fleet_test.go
@@ -75,8 +75,13 @@
 	alive          bool
 	starts         int
 	startAt        time.Time
+	// lateUntil is when the control goroutine runs again. Calls to and from the node
+	// make no progress before.
+	lateUntil time.Time
 }
 
+func (n *fleetNode) late(now time.Time) bool { return now.Before(n.lateUntil) }
+
 type fleetPoll struct {
 	node       *fleetNode
 	starts     int
@@ -185,7 +190,9 @@
 		if node.core.Stale(f.now) {
 			stale++
 		}
-		f.startCalls(node)
+		if !node.late(f.now) {
+			f.startCalls(node)
+		}
 	}
 	f.maxStale = max(f.maxStale, stale)
 	polls := f.polls
@@ -239,7 +246,7 @@
 		return
 	}
 	refused := f.storeRefuses(node)
-	if refused && f.now.Sub(poll.sentAt) < f.refusalDelay {
+	if node.late(f.now) || refused && f.now.Sub(poll.sentAt) < f.refusalDelay {
 		f.polls = append(f.polls, poll)
 		return
 	}
@@ -393,6 +400,9 @@
 	if !from.alive || from.starts != call.starts {
 		return true
 	}
+	if from.late(f.now) || to.alive && to.late(f.now) {
+		return false
+	}
 	partitioned := f.isPartitioned(from, to)
 	waited := f.now.Sub(call.sentAt)
 	if !to.alive && f.poweredOff && !call.delivered && waited < call.dialTime {
--- a/internal/replication/served_test.go
+++ b/internal/replication/served_test.go
@@ -21,6 +21,7 @@
 var sites = []site{
 	{listed: 3, deadline: 3 * time.Second, readsPerSecond: 2000},
 	{listed: 11, deadline: 3 * time.Second, readsPerSecond: 2000},
+	{listed: 60, deadline: 3 * time.Second, readsPerSecond: 2000},
 	{listed: 88, deadline: 5 * time.Second, readsPerSecond: 6000},
 	{listed: 330, deadline: 6 * time.Second, readsPerSecond: 16_000},
 	{listed: 985, deadline: 8 * time.Second, readsPerSecond: 16_000},
@@ -36,7 +37,7 @@
 func forSites(t *testing.T, test func(t *testing.T, s site)) {
 	t.Parallel()
 	for _, s := range sites {
-		t.Run(fmt.Sprintf("%d listed", s.listed), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d listed, %s", s.listed, s.deadline), func(t *testing.T) {
 			t.Parallel()
 			test(t, s)
 		})
@@ -142,6 +143,45 @@
 	})
 }
 
+// controlLateness is how late the control goroutine of a balancer that is in touch may
+// run once.
+const controlLateness = time.Second
+
+// Guards against waits that leave no time for a control goroutine that runs late: the
+// data of the balancer that the store serves stays within the deadline if its control
+// goroutine runs a second late, either before the ping or between the ping and the read,
+// and the ping comes as late as it may.
+func TestServedBalancerIsCurrentThoughControlIsLate(t *testing.T) {
+	moments := map[string]func(f *fleet, served *fleetNode) bool{
+		"when a call is due":       func(f *fleet, served *fleetNode) bool { return served.core.NextPoll(f.now) != PollNone },
+		"when a ping was answered": func(_ *fleet, served *fleetNode) bool { return served.core.pingAnswered },
+	}
+	forSites(t, func(t *testing.T, s site) {
+		f := newListedFleet(t, s)
+		served := f.lastOfOrder()
+		for name, reached := range moments {
+			f.storeRefuses = func(node *fleetNode) bool { return node != served }
+			oldest, wasLate := time.Duration(0), false
+			for end := f.now.Add(s.deadline); f.now.Before(end); {
+				if served.core.Stale(f.now) && served.core.pingAge == 0 {
+					served.core.pingAge = f.timing.StaleAge + f.timing.pingPeriod(s.listed)
+				}
+				if !wasLate && served.core.Stale(f.now) && reached(f, served) {
+					wasLate, served.lateUntil = true, f.now.Add(controlLateness)
+				}
+				f.step()
+				age, _ := served.core.Age(f.now)
+				oldest = max(oldest, age)
+			}
+			require.True(t, wasLate || served.core.mayReadForOthers(), name)
+			require.LessOrEqual(t, oldest, f.timing.ReadAge+controlLateness+5*simulationStep, name)
+			require.Less(t, oldest, s.deadline-5*simulationStep, name)
+			f.storeRefuses = func(*fleetNode) bool { return false }
+			f.run(s.timing().StaleAge)
+		}
+	})
+}
+
 // killOthers kills the balancers except one that match.
 func (f *fleet) killOthers(served *fleetNode, matches func(*fleetNode) bool) {
 	for _, node := range f.nodes {
--- a/internal/replication/timing.go
+++ b/internal/replication/timing.go
@@ -27,7 +27,8 @@
 	Deadline time.Duration
 	// ReadAge is the age by which every balancer tries to read the store itself,
 	// however many others should have read it. The rest of the deadline is for the
-	// call, and for a table build that is in progress.
+	// call, for a table build that is in progress, and for a control goroutine that runs
+	// late.
 	ReadAge time.Duration
 	// RetryDelay is the longest pause between two tries of a balancer that the store
 	// does not serve. With a try that times out and a read, it stays within the
@@ -56,6 +57,13 @@
 	// retriesPerDeadline how many times RetryDelay fits into the deadline.
 	readAgePart        = 0.75
 	retriesPerDeadline = 3
+	// spreadsPerPoll is such that the tries are spread over at least this part of a poll
+	// interval.
+	spreadsPerPoll = 4
+	// maxLateness is how late the control goroutine may run once while data is read,
+	// and readTime is the time for a ping, a read and a table build.
+	maxLateness = time.Second
+	readTime    = 250 * time.Millisecond
 )
 
 // NewTiming derives the timing from the poll interval, the age that counts as stale,
@@ -70,11 +78,19 @@
 		MinAdvance:   min(advanceLimit, poll/advancesPerPoll),
 		StandbyDelay: poll / standbyDelaysPerPoll,
 		Deadline:     deadline,
-		ReadAge:      max(stale, time.Duration(float64(deadline)*readAgePart)),
+		ReadAge:      readAge(poll, stale, deadline),
 		RetryDelay:   deadline / retriesPerDeadline,
 	}
 }
 
+// readAge returns the age by which every balancer tries to read the store. If the
+// deadline is too short for a control goroutine that runs late, part of a poll interval
+// remains in which the tries are spread.
+func readAge(poll, stale, deadline time.Duration) time.Duration {
+	inTime := max(deadline-maxLateness-readTime, stale+poll/spreadsPerPoll)
+	return max(stale, min(time.Duration(float64(deadline)*readAgePart), inTime))
+}
+
 // MinStaleAge returns the least age that may count as stale for a poll interval.
 func MinStaleAge(poll time.Duration) time.Duration {
 	return time.Duration(float64(poll) * minStalePolls)
