Balancer: logs and metrics tell a late control goroutine from a slow store

Nothing said whether the balancer had not got the processor or the process that plays the store had not: the first was assumed from other processes' gaps.

The control goroutine now logs when it waited 0.25 s longer than for its ticker (no processor), or ran that long; two counters add both up. When stale data is confirmed, one line says how old it got, how many store calls failed, how long the longest took, and how long the answer waited to be handled.

--- a/internal/balancer/calls.go
+++ b/internal/balancer/calls.go
@@ -28,6 +28,8 @@
 		AsOfNanoseconds: int64(now.Sub(c.balancer.started)),
 		Poll:            uint32(kind),
 		HistoryLost:     errors.Is(err, ErrHistoryLost),
+
+		LeftBeforeNanoseconds: int64(time.Since(c.balancer.started)),
 	}
 	c.publish(ctx, news, err)
 }
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -84,6 +84,8 @@
 	// firstRoutesAt is when this balancer first had a route table.
 	firstRoutesAt   time.Time
 	lateNews        lateNews
+	lateness        lateness
+	staleSpell      staleSpell
 	rebuildNeeded   bool
 	nextTableChange time.Time
 	// nextBuild is the earliest time of the next table build, which depends on how long
@@ -129,6 +131,7 @@
 
 		poolLastUse: make(map[flow.Address]map[string]time.Time),
 	}
+	c.lateness.logger = balancer.logger
 	c.core.SetSeeds(settings.GetSeeds())
 	return c
 }
@@ -142,8 +145,11 @@
 	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	c.tick(ctx, time.Now())
+	began := time.Now()
+	c.lateness.running(began)
+	c.tick(ctx, began)
 	for {
+		c.lateness.waiting(time.Now())
 		select {
 		case <-ctx.Done():
 			return nil
@@ -151,13 +157,18 @@
 			if !open {
 				return nil
 			}
+			c.lateness.running(time.Now())
 			c.handle(msg)
 		case call := <-c.followCalls:
+			c.lateness.running(time.Now())
 			c.enqueueFollow(call)
 		case request := <-c.testifyRequests:
+			c.lateness.running(time.Now())
 			c.handleTestifyRequest(request, time.Now())
 		case <-c.wakeRequested:
+			c.lateness.running(time.Now())
 		case <-ticker.C:
+			c.lateness.running(time.Now())
 		}
 		c.tick(ctx, time.Now())
 	}
--- a/internal/balancer/metrics.go
+++ b/internal/balancer/metrics.go
@@ -53,6 +53,8 @@
 		"How often the store came back from a copy, by its own count.", nil, nil)
 	ageDescription = prometheus.NewDesc("indigobarrow_balancer_knowledge_age_seconds",
 		"Time since the store confirmed what is known.", nil, nil)
+	latenessDescription = prometheus.NewDesc("indigobarrow_balancer_control_late_seconds_total",
+		"Time by which the control goroutine ran late, if it was longer than 0.25 s: waited for the processor, or ran too long.", []string{"state"}, nil)
 	silentConnectionsDescription = prometheus.NewDesc("indigobarrow_balancer_silent_connections_total",
 		"Connections to other balancers that were given up since they had gone silent.", nil, nil)
 	versionDescription = prometheus.NewDesc("indigobarrow_balancer_configuration_version",
@@ -113,6 +115,11 @@
 	counter(callsDescription, balancer.peerCalls.answered.Load(), "peer", "answered")
 	counter(callsDescription, balancer.peerCalls.failed.Load(), "peer", "failed")
 	counter(withdrawalsDescription, balancer.withdrawals.Load())
+	seconds := func(sum *atomic.Int64, state string) {
+		metrics <- prometheus.MustNewConstMetric(latenessDescription, prometheus.CounterValue, time.Duration(sum.Load()).Seconds(), state)
+	}
+	seconds(&balancer.control.lateness.waits, "waited")
+	seconds(&balancer.control.lateness.runs, "ran")
 	counter(silentConnectionsDescription, balancer.control.client.SilentConnections.Load()+balancer.control.observations.client.SilentConnections.Load())
 	if confirmed := balancer.confirmedAt.Load(); confirmed > 0 {
 		gauge(eraDescription, float64(balancer.era.Load()))
--- a/internal/balancer/news.go
+++ b/internal/balancer/news.go
@@ -39,6 +39,7 @@
 		c.writeEnded(news.GetError(), now)
 	case news.GetPeer() == "":
 		c.pollInFlight = false
+		c.staleSpell.recordStoreCall(time.Duration(news.GetLeftBeforeNanoseconds()-news.GetAsOfNanoseconds()), news.GetError() != "")
 		c.pollEnded(news, now)
 	default:
 		c.peerCallEnded(news, asOf, now)
@@ -55,6 +56,7 @@
 	}
 	if confirms && hasData {
 		c.recordNews(age, now)
+		c.logStaleSpell(news, age, now)
 	}
 	c.apply(news.GetBatch(), now)
 	if confirms {
@@ -63,6 +65,18 @@
 	}
 }
 
+// logStaleSpell logs how old the data has become if news confirms it after it was stale,
+// and which part of that time is due to calls, and to the control goroutine.
+func (c *control) logStaleSpell(news *apiv1.DirectoryNews, age time.Duration, now time.Time) {
+	if age > timingOf(c.balancer.settings.Load()).StaleAge {
+		endedAt := c.balancer.started.Add(time.Duration(news.GetLeftBeforeNanoseconds()))
+		c.balancer.logger.Info("Control: stale data was confirmed.", "age", age.Round(time.Millisecond), "peer", news.GetPeer(),
+			"failed_store_calls", c.staleSpell.failedCalls, "longest_store_call", c.staleSpell.longestCall.Round(time.Millisecond),
+			"handled_after", now.Sub(endedAt).Round(time.Millisecond))
+	}
+	c.staleSpell = staleSpell{}
+}
+
 // isOlder reports whether batch is a complete read of the store with an earlier revision
 // than the replica. A starting balancer may have read data that is some seconds old; if the
 // store was restored from a backup meanwhile, that data contains writes that the store has
