Balancer: removed entries take no flows once the store serves a refused balancer again

After a long gap in the store's confirmations, entries that went meanwhile may come back for 2 s and take new flows. A balancer that the store did not answer for long learns that it is served only by its next try: up to a second for the call that fails, a second of pause (a third of the deadline), a ping and a read. With the 2 s on top it used the entry of a back end that was gone until 4.6 s after the store had begun to serve it, and it counts as in touch after 4 s.

The gap now carries when the last call that failed was sent: the store has served this balancer since then at the earliest, so the period ends no later than the time for a leaving back end from then on. With calls that fail at once (503, 429, reset) nothing changes; with silent ones the period is up to a second shorter on sites with 3 s. Sites with 5 s and more keep their 2 s.

TestRemovedEntriesTakeNoFlowsOnceStoreServesAgain failed with the fix taken out: 4.01 s, bound 4 s (5.01 s with the control goroutine a second late). Ruled out: a bound by the gap's start, which says nothing once the gap is longer than the time for leaving back ends.

--- a/internal/balancer/rebuild.go
+++ b/internal/balancer/rebuild.go
@@ -101,15 +101,21 @@
 // to expire, entries that vanished were removed on purpose, and the period is empty. If
 // the gap was shorter than the time allowed for a leaving back end, entries may have been
 // removed while this balancer still counted as in touch with the store, so the period ends
-// with that time and they take no new flows beyond it.
+// with that time and they take no new flows beyond it. The store may have served this
+// balancer since its last call that failed, and may have begun to do so long after entries
+// were removed, so the period does not exceed the time allowed for a leaving back end from
+// then on either.
 func (c *control) storeRecovery() tokenroute.StoreRecovery {
 	gap, loaded := c.core.LastGap(), c.balancer.settings.Load()
 	if gap.Length() < minExpiryHeartbeats*milliseconds(loaded.GetHeartbeatMilliseconds()) || c.balancer.disabled.Has(mechanism.LapseGrace) {
 		return tokenroute.StoreRecovery{}
 	}
 	storeRecovery := tokenroute.StoreRecovery{Since: gap.Until, Until: gap.Until.Add(milliseconds(loaded.GetLapseMilliseconds()))}
-	drained := gap.From.Add(time.Duration(loaded.GetDrainMilliseconds() * float64(time.Millisecond)))
-	if drained.After(storeRecovery.Since) && drained.Before(storeRecovery.Until) {
+	drain := time.Duration(loaded.GetDrainMilliseconds() * float64(time.Millisecond))
+	if drained := gap.From.Add(drain); drained.After(storeRecovery.Since) && drained.Before(storeRecovery.Until) {
+		storeRecovery.Until = drained
+	}
+	if drained := gap.LastFailure.Add(drain); !gap.LastFailure.IsZero() && drained.Before(storeRecovery.Until) {
 		storeRecovery.Until = drained
 	}
 	return storeRecovery
--- a/internal/balancer/storerecovery_test.go
+++ b/internal/balancer/storerecovery_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	apiv1 "github.com/indigobarrow/indigobarrow/api/v1"
+	"github.com/indigobarrow/indigobarrow/internal/replication"
 )
 
 // A back end's entry was removed while the balancer that reads the store was being refused
@@ -57,3 +58,39 @@
 		require.InDelta(t, each.until.Seconds(), storeRecovery.Until.Sub(confirmedAt).Seconds(), 0.001, "after a gap of %s", each.gap)
 	}
 }
+
+// Guards against new flows to back ends that are gone once the store has served this
+// balancer for some time: the store did not answer it for long, and the last call was sent
+// just before that ended. The call fails after a second, the next one follows after the
+// longest pause, and a ping precedes the read. The entry of a back end that has gone
+// meanwhile was taken for one that may come back, for up to 4.6 s after the store had begun
+// to serve the balancer, which counts as in touch 4 s after that.
+func TestRemovedEntriesTakeNoFlowsOnceStoreServesAgain(t *testing.T) {
+	for _, lateness := range []time.Duration{0, time.Second} {
+		const callTime = 10 * time.Millisecond
+		control := newTestControl()
+		loaded := control.balancer.settings.Load()
+		loaded.DrainMilliseconds, loaded.HeartbeatMilliseconds, loaded.LapseMilliseconds = 3000, 1200, 2000
+		start := time.Now()
+		answer := func(poll replication.Poll, sentAt time.Time, took time.Duration, failure string) {
+			news := &apiv1.DirectoryNews{Poll: uint32(poll), AsOfNanoseconds: control.sinceStart(sentAt), Error: failure}
+			if failure == "" && poll != replication.PollPing {
+				news.Batch = routesBatch(uint64(5 + sentAt.Sub(start).Seconds()))
+			}
+			control.core.PollStarted(poll, sentAt)
+			control.handleNews(news, sentAt.Add(took))
+		}
+		answer(replication.PollFirstPage, start, 0, "")
+		at, servedSince := start.Add(time.Second), time.Time{}
+		for range 5 {
+			servedSince = at
+			answer(replication.PollPing, at, storeTimeout, "no answer")
+			at = at.Add(storeTimeout + timingOf(loaded).RetryDelay)
+		}
+		answer(replication.PollPing, at, callTime, "")
+		at = at.Add(callTime + lateness)
+		answer(replication.PollFirstPage, at, callTime, "")
+		require.NotZero(t, control.storeRecovery(), "entries may have expired in the gap")
+		require.LessOrEqual(t, control.storeRecovery().Until.Sub(servedSince), 4*time.Second, "control goroutine %s late", lateness)
+	}
+}
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -82,10 +82,13 @@
 	tree *tree
 	// confirmedAt is when the store last confirmed the data here. It is zero if there
 	// is no data.
-	confirmedAt  time.Time
-	nextPoll     time.Time
-	pollFailures int
-	startup      startupState
+	confirmedAt time.Time
+	nextPoll    time.Time
+	// pollStartedAt is when the last call to the store was sent, and failedPollAt when
+	// the last one that failed was.
+	pollStartedAt, failedPollAt time.Time
+	pollFailures                int
+	startup                     startupState
 	// multiPage is set if the store has more than one page.
 	multiPage    bool
 	nextSnapshot time.Time
@@ -236,6 +239,9 @@
 	}
 	if c.hasData() && asOf.Sub(c.confirmedAt) > c.config.Timing.StaleAge {
 		c.lastGap = Gap{From: c.confirmedAt, Until: asOf}
+		if c.failedPollAt.After(c.confirmedAt) {
+			c.lastGap.LastFailure = c.failedPollAt
+		}
 	}
 	if !c.hasData() {
 		// The candidates found meanwhile hardly have more data.
@@ -249,6 +255,10 @@
 // data to become stale. The zero value stands for none.
 type Gap struct {
 	From, Until time.Time
+	// LastFailure is when this balancer sent the last call in the gap that the store did
+	// not serve. It is zero if none failed. The store has served this balancer since
+	// then at the earliest.
+	LastFailure time.Time
 }
 
 // Length returns the time between the two confirmations.
@@ -292,6 +302,7 @@
 
 // PollStarted schedules the next call relative to the start of this one.
 func (c *Core) PollStarted(poll Poll, now time.Time) {
+	c.pollStartedAt = now
 	c.nextPoll = now.Add(c.config.Timing.PollInterval)
 	switch poll {
 	case PollChanges:
@@ -369,6 +380,7 @@
 func (c *Core) PollFailed(now time.Time) {
 	half := c.pauseAfterFailure() / 2
 	c.pollFailures++
+	c.failedPollAt = c.pollStartedAt
 	c.pingAnswered = false
 	c.nextPoll = now.Add(half + c.randomUpTo(half))
 }
