--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -71,6 +71,8 @@
 
 	document      *apiv1.EpochDocument
 	configuration *apiv1.Configuration
+	// storeUnreachable is set while this node's calls to the store fail.
+	storeUnreachable bool
 	// acceptedAt is when the document was accepted.
 	acceptedAt uint32
 	settled    *rule.Set
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -191,6 +191,7 @@
 		MarksCompleted:        len(core.marks) > 0 && core.marksCompleted(),
 		Suspects:              core.suspects(),
 		Rejoining:             core.isRejoining(),
+		StoreUnreachable:      core.storeUnreachable,
 	}
 	members := core.members()
 	for _, id := range sortedKeys(core.peers) {
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -20,22 +20,35 @@
 
 // WatchRank returns the rank of this node among the nodes it hears from, in an
 // order that alternates between zones. The nodes of the lowest ranks watch the
-// store; the others receive the state from them.
+// store; the others receive the state from them. Nodes whose calls to the store fail
+// don't count, up to maxFailedWatchers of them, so that others watch in their place and
+// an outage does not make all nodes call the store.
 func (core *Core) WatchRank() int {
 	inZone := core.rankInZone(core.self)
-	rank := 0
+	rank, failed := 0, 0
 	for id, peer := range core.peers {
 		if !core.isAlive(id) {
 			continue
 		}
 		other := core.rankInZone(peer.member)
-		if other < inZone || other == inZone && peer.member.GetZone() < core.self.GetZone() {
+		before := other < inZone || other == inZone && peer.member.GetZone() < core.self.GetZone()
+		switch {
+		case before && peer.progress.GetStoreUnreachable():
+			failed++
+		case before:
 			rank++
 		}
 	}
-	return rank
+	return rank + max(0, failed-maxFailedWatchers)
 }
 
+// maxFailedWatchers is the number of nodes whose calls to the store fail in whose place
+// others watch it.
+const maxFailedWatchers = 5
+
+// SetStoreReachable sets whether this node's calls to the store succeed.
+func (core *Core) SetStoreReachable(reachable bool) { core.storeUnreachable = !reachable }
+
 // rankInZone returns the rank of a node among the nodes of its zone, ordered by
 // ID.
 func (core *Core) rankInZone(member *apiv1.Member) int {
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -85,6 +85,17 @@
 	}
 }
 
+// RefuseStoreWatchers makes the store refuse the nodes that watch it now, and serve the
+// others.
+func (sim *Simulation) RefuseStoreWatchers() {
+	sim.store.refused = make(map[string]bool)
+	for _, node := range sim.nodes {
+		if node.running() && node.core.WatchRank() < maxStoreWatchers {
+			sim.store.refused[node.id] = true
+		}
+	}
+}
+
 // SetZonePartitioned partitions the network between a zone and all others, or
 // ends the partition.
 func (sim *Simulation) SetZonePartitioned(zone string, partitioned bool) {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -73,6 +73,31 @@
 	}
 }
 
+// TestRefusedWatchersDoNotDelayChanges guards against leaving back ends that keep new flows for
+// minutes: the store refuses the three nodes that watch it for all others, and the others
+// left the store to them, whether or not they could read it.
+func TestRefusedWatchersDoNotDelayChanges(t *testing.T) {
+	for refusals := 1; refusals <= 2; refusals++ {
+		sim := New(smallSettings(1))
+		for _, zone := range sim.settings.Zones {
+			sim.StartNode(zone)
+		}
+		sim.Clock.RunUntil(30 * time.Second)
+		for refusal := range refusals {
+			sim.RefuseStoreWatchers()
+			require.Len(t, sim.store.refused, (refusal+1)*maxStoreWatchers)
+			sim.Clock.RunUntil(time.Duration(32+2*refusal) * time.Second)
+		}
+		drainedAt := sim.Clock.Now()
+		sim.Drain(0, 1)
+		sim.Clock.RunUntil(drainedAt + 11*time.Second)
+		require.NoError(t, sim.CheckInvariants())
+		for _, node := range sim.nodes {
+			require.Equal(t, uint64(2), node.activeRevision(), describe(node))
+		}
+	}
+}
+
 // TestLongPartitionHeals checks that the nodes of a zone rejoin the group after a
 // partition that lasts longer than the other nodes remember them.
 func TestLongPartitionHeals(t *testing.T) {
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -37,6 +37,8 @@
 	bytesByKind       map[string]uint64
 	controlRates      []float64
 	groupLiveness     uint64
+	// watching is set while the node is one of those that watch the store.
+	watching bool
 	// weightsDocumentVersion is the version of the document whose weights the
 	// node last set as desired.
 	weightsDocumentVersion uint64
@@ -79,6 +81,7 @@
 	added.readStore()
 	added.tick()
 	added.pollGroupLiveness()
+	added.checkRank()
 	return added
 }
 
@@ -105,11 +108,31 @@
 	node.sim.Clock.After(node.sim.settings.TickInterval, node.tick)
 }
 
+const rankCheckInterval = time.Second
+
+// checkRank reads the store when the node becomes one of those that watch it. Only these
+// nodes learn whether the store serves them.
+func (node *node) checkRank() {
+	if node.dead {
+		return
+	}
+	node.sim.Clock.After(rankCheckInterval, node.checkRank)
+	watching := node.core.WatchRank() < maxStoreWatchers
+	if watching {
+		node.core.SetStoreReachable(node.canReachStore())
+	}
+	if watching && !node.watching {
+		node.readStore()
+	}
+	node.watching = watching
+}
+
 // canReachStore reports whether the node can reach the store. Nodes of a
-// partitioned zone cannot, unless the settings say otherwise.
+// partitioned zone cannot, unless the settings say otherwise, nor can nodes that the
+// store refuses.
 func (node *node) canReachStore() bool {
 	reachable := !node.sim.partitionedZones[node.zone] || node.sim.settings.Store.ReachableWhenPartitioned
-	return reachable && !node.sim.store.down
+	return reachable && !node.sim.store.down && !node.sim.store.refused[node.id]
 }
 
 // pollGroupLiveness reads the group liveness key from the store every
--- a/internal/lab/store.go
+++ b/internal/lab/store.go
@@ -16,6 +16,8 @@
 	configuration *apiv1.Configuration
 	// down is set during an outage.
 	down bool
+	// refused holds the nodes that the store refuses while it serves the others.
+	refused map[string]bool
 	// writes and conflicts count the compare-and-swaps of the document that
 	// succeeded and those that failed.
 	writes, conflicts int
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -31,6 +31,7 @@
 			return err
 		case <-ticker.C:
 			node.core.ViewInForce(node.plane.InForce())
+			node.core.SetStoreReachable(!node.storeFailing.Load())
 			node.core.Tick(node.now())
 		case envelope := <-node.transport.Inbox():
 			node.core.Step(node.now(), envelope)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,8 +45,10 @@
 
 	// storeReachable, watchRank and ready are shared between goroutines.
 	storeReachable atomic.Bool
-	watchRank      atomic.Int32
-	ready          atomic.Bool
+	// storeFailing is set while calls to the store fail.
+	storeFailing atomic.Bool
+	watchRank    atomic.Int32
+	ready        atomic.Bool
 	// handoverDone is closed when the flows are recorded elsewhere, so that the
 	// node can stop.
 	handoverDone chan struct{}
--- a/internal/node/storewatch.go
+++ b/internal/node/storewatch.go
@@ -53,18 +53,18 @@
 		value, err := node.nextValue(ctx, key, version)
 		switch {
 		case errors.Is(err, store.ErrNotFound):
-			node.storeReachable.Store(true)
+			node.setStoreReachable(true)
 			backoff = retryMinimum
 			sleep(ctx, retryMinimum)
 			continue
 		case err != nil:
-			node.storeReachable.Store(false)
+			node.setStoreReachable(false)
 			node.logger.Warn("Store: reading a key failed.", "part", "store", "error", err)
 			sleep(ctx, jitter(backoff))
 			backoff = min(2*backoff, retryMaximum)
 			continue
 		}
-		node.storeReachable.Store(true)
+		node.setStoreReachable(true)
 		backoff = retryMinimum
 		if value.Version <= version {
 			continue
@@ -82,6 +82,12 @@
 	return nil
 }
 
+// setStoreReachable records whether the last call to the store succeeded.
+func (node *Node) setStoreReachable(reachable bool) {
+	node.storeReachable.Store(reachable)
+	node.storeFailing.Store(!reachable)
+}
+
 // nextValue reads the key at once if version is 0. Otherwise watchers wait for a
 // newer version, and the other nodes read after a long interval, or earlier if
 // they become watchers or lose contact.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -49,8 +49,9 @@
 const (
 	requestTimeout = 2 * time.Second
 	// watchTimeout is how long the service may hold a watch before it answers that
-	// nothing has changed.
-	watchTimeout     = 60 * time.Second
+	// nothing has changed. A service that does not answer a node is noticed within
+	// this time and requestTimeout, so that other nodes can watch in its place in time.
+	watchTimeout     = 4 * time.Second
 	maximumValueSize = 8 << 20
 )
 
