Failure detector: evidence of other balancers counts from when the request was sent

A request that another balancer reports as unanswered counted for 3 s from its receipt, and a failure based on it lasted 2 s from its evaluation. Reports that late control goroutines passed on 2.5 s after the request thus still reset flows of the back end 4.6 s after it. The back end was cut off for 0.6 s after the request at least, and 4 s after a cut no reset of its flows is tolerated: the sign outlived its cause.

Both now count from when the request was sent: 3 s. A report on time (0.7 s after the request) still fails the back end for 2 s.

TestLateReportsFailBackendNoLonger failed with the fix taken out (received at 2500 ms, reset at 4600 ms). Weighed and left: the requests that this balancer itself saw unanswered count for a minute, as TestFailureExpiresWhetherOrNotEntryIsGone asks, so that one more client shows that a back end is still dead; they reset nothing by themselves.

--- a/internal/tokenroute/backendhealth.go
+++ b/internal/tokenroute/backendhealth.go
@@ -119,7 +119,7 @@
 
 func (d *FailureDetector) expireUnanswered(health *backendHealth, now time.Time) {
 	for client, each := range health.unanswered {
-		if now.Sub(each.sentAt) > unansweredTTL || each.remote() && now.Sub(each.receivedAt) > remoteTTL {
+		if now.Sub(each.sentAt) > unansweredTTL || each.remote() && now.Sub(each.sentAt) > remoteTTL {
 			delete(health.unanswered, client)
 		}
 	}
--- a/internal/tokenroute/observations.go
+++ b/internal/tokenroute/observations.go
@@ -14,7 +14,9 @@
 	// activity before they count. A balancer that knows the back end to be alive learns of the
 	// first report and replies within that time, over three levels of balancers up and down.
 	pendingTime = 200 * time.Millisecond
-	// remoteTTL is how long an unanswered request reported by another balancer counts.
+	// remoteTTL is how long after it was sent an unanswered request reported by another balancer
+	// counts, and how long a failure that is based on it lasts. A report that was late on its way
+	// thus does not outlive the time after a disruption in which resets of flows are tolerated.
 	remoteTTL = 3 * time.Second
 	// maxObservations bounds the queued unanswered requests and, separately, the queued activity.
 	// When many back ends fall silent at once, reports of unanswered requests would otherwise crowd
@@ -95,29 +97,35 @@
 // the reports have waited for contradicting activity. If the back end already counts as failed, its
 // failure is prolonged.
 func (d *FailureDetector) evaluate(health *backendHealth, backend *Backend, now time.Time) {
-	count, firstReceived := health.countUnanswered(now)
+	count, firstReceived, lastSent := health.countUnanswered(now)
 	switch {
 	case d.disabled.Has(mechanism.JoinedEvidence) || firstReceived.IsZero() || count < clientsToFail:
 	case now.Before(health.failedUntil) || now.Sub(firstReceived) >= pendingTime:
+		before := health.failedUntil
 		d.markFailed(health, backend, now)
+		if until := lastSent.Add(remoteTTL); until.Before(health.failedUntil) {
+			health.failedUntil = maxTime(before, until)
+		}
 	default:
 		d.deferEvaluation(backend, firstReceived.Add(pendingTime))
 	}
 }
 
-// countUnanswered returns how many unanswered requests count, and when the first of those from
-// another balancer was received. That time is zero if all of them are local.
-func (h *backendHealth) countUnanswered(now time.Time) (count int, firstReceived time.Time) {
+// countUnanswered returns how many unanswered requests count, when the first of those from
+// another balancer was received, and when the last of all was sent. The first time is zero if all
+// of them are local.
+func (h *backendHealth) countUnanswered(now time.Time) (count int, firstReceived, lastSent time.Time) {
 	for _, each := range h.unanswered {
-		if !each.othersAnswered || each.remote() && now.Sub(each.receivedAt) > remoteTTL {
+		if !each.othersAnswered || each.remote() && now.Sub(each.sentAt) > remoteTTL {
 			continue
 		}
 		count++
+		lastSent = maxTime(lastSent, each.sentAt)
 		if each.remote() && (firstReceived.IsZero() || each.receivedAt.Before(firstReceived)) {
 			firstReceived = each.receivedAt
 		}
 	}
-	return count, firstReceived
+	return count, firstReceived, lastSent
 }
 
 func (d *FailureDetector) deferEvaluation(backend *Backend, until time.Time) {
--- a/internal/tokenroute/observations_test.go
+++ b/internal/tokenroute/observations_test.go
@@ -65,6 +65,25 @@
 	require.Zero(t, failures[0].Local)
 }
 
+// Guards against resets of flows of a live back end by reports that were late on their way: two
+// clients of other balancers sent requests while the back end was cut off, which it was for 600 ms
+// after that at least. A failure that is based on them ends before the cut is 4 s ago, from when on
+// no reset of its flows is tolerated, however late the reports came.
+func TestLateReportsFailBackendNoLonger(t *testing.T) {
+	for receivedAt := 700; receivedAt < 6000; receivedAt += 100 {
+		table, flows := NewTable(twoZoneDirectory(), defaultOptions()), NewFlows(mechanism.Set{}).WithZone("maadi")
+		for client := range evidence.Client(2) {
+			flows.Receive(unanswered(2, 101+client, "maadi", 0), table, at(receivedAt))
+		}
+		for now := receivedAt; now < receivedAt+5000; now += 100 {
+			flows.EvaluatePending(at(now))
+			verdict := flows.Decide(table, request(byte(now/100%200), 2, 1), at(now)).Verdict
+			require.False(t, verdict == Refuse && now >= 600+4000, "received at %d ms, reset at %d ms", receivedAt, now)
+			require.False(t, receivedAt == 700 && now == 1000 && verdict == Forward, "reports in time do fail the back end")
+		}
+	}
+}
+
 func TestLocalAndRemoteReportsAreCombined(t *testing.T) {
 	table, flows := manyBackends(3), NewFlows(mechanism.Set{})
 	require.Equal(t, []Verdict{Forward}, sendUnanswered(flows, table, 2, []byte{1}, 0, 600))
