Traffic: a first packet whose opening had ended when it was read is dropped

The balancer sent on the SYNs that it found in its socket; another back end answered, and the client's token then named that one, which does not hold the flow.

Now the kernel tells when it received each datagram, and only a SYN whose client has given up or opened the flow elsewhere is dropped: 1.4 s after the first one, 1.2 s for a copy. So no request is lost by it.

TestFirstPacketOfEndedOpeningIsDropped failed with the condition taken out. Left: shorter stalls, in which a SYN may be sent on though a later copy opened the flow.

--- a/internal/balancer/traffic.go
+++ b/internal/balancer/traffic.go
@@ -23,6 +23,8 @@
 	log      decisionLog
 	input    []byte
 	output   []byte
+	// control holds the control messages that come with a datagram.
+	control []byte
 	// lastPacket is when the last packet arrived, in nanoseconds since the balancer
 	// started.
 	lastPacket     atomic.Int64
@@ -46,6 +48,9 @@
 func newTraffic(balancer *Balancer, socket *net.UDPConn) *traffic {
 	// With one byte more than the allowed size, oversize datagrams can be recognised.
 	size := balancer.dependencies.Codec.MaximumSize() + 1
+	if err := enableReceiveTimes(socket); err != nil {
+		balancer.logger.Info("Traffic: datagrams carry no receive time.", "error", err)
+	}
 	return &traffic{
 		balancer: balancer,
 		socket:   socket,
@@ -53,6 +58,7 @@
 		log:      decisionLog{logger: balancer.logger},
 		input:    make([]byte, size),
 		output:   make([]byte, 0, 2*size),
+		control:  make([]byte, receiveTimeSize),
 	}
 }
 
@@ -65,7 +71,7 @@
 		_ = t.socket.Close()
 	}()
 	for {
-		size, _, err := t.socket.ReadFromUDPAddrPort(t.input)
+		size, controlSize, _, _, err := t.socket.ReadMsgUDPAddrPort(t.input, t.control)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -78,8 +84,22 @@
 			time.Sleep(readRetryDelay)
 			continue
 		}
-		t.handle(t.input[:size], time.Now())
+		now := time.Now()
+		t.handle(t.input[:size], waited(receiveTime(t.control[:controlSize]), now), now)
+	}
+}
+
+// maxWait is the longest time that a datagram is taken to have waited. A longer one shows
+// that the time of day has changed meanwhile.
+const maxWait = time.Minute
+
+// waited returns how long a datagram has waited to be read, or 0 if that is not known.
+func waited(receivedAt, now time.Time) time.Duration {
+	wait := now.Sub(receivedAt)
+	if receivedAt.IsZero() || wait < 0 || wait > maxWait {
+		return 0
 	}
+	return wait
 }
 
 // deliver passes on what other balancers have observed, so that the traffic goroutine
@@ -147,7 +167,7 @@
 	}
 }
 
-func (t *traffic) handle(datagram []byte, now time.Time) {
+func (t *traffic) handle(datagram []byte, wait time.Duration, now time.Time) {
 	t.lastPacket.Store(int64(now.Sub(t.balancer.started)))
 	codec := t.balancer.dependencies.Codec
 	packet, err := codec.Decode(datagram)
@@ -155,6 +175,7 @@
 		t.malformed.Add(1)
 		return
 	}
+	packet.Waited = wait
 	table := t.balancer.table.Load()
 	switch {
 	case table != nil:
--- a/internal/tokenroute/decide.go
+++ b/internal/tokenroute/decide.go
@@ -21,6 +21,27 @@
 	Length                 uint16
 	// Closing is set on packets that end their flow.
 	Closing bool
+	// Waited is how long the packet waited here to be read.
+	Waited time.Duration
+}
+
+const (
+	// openingTimeout is how long after the first packet a client gives up the opening of a flow
+	// that was not answered.
+	openingTimeout = 1400 * time.Millisecond
+	// firstCopyDelay is how long after the first packet clients retransmit it first.
+	firstCopyDelay = 200 * time.Millisecond
+)
+
+// openingEnded reports whether the opening of the flow had ended when this first packet was read:
+// its client has opened the flow through another balancer, or given it up. An answer of another
+// back end would change the token of an open flow.
+func (p Packet) openingEnded() bool {
+	left := openingTimeout
+	if p.Retransmission {
+		left -= firstCopyDelay
+	}
+	return p.Waited >= left
 }
 
 // Verdict is what is done with a packet.
@@ -62,12 +83,14 @@
 	// ReasonRestarted means that the back end has restarted since the flow was opened, and holds no
 	// flows from before.
 	ReasonRestarted
+	// ReasonLate means that the opening of the flow had ended when its first packet was read.
+	ReasonLate
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"token", "kept", "new_flow", "no_table", "no_route", "no_backend", "unknown_token", "foreign_token", "dead_backend",
-	"evacuated", "cold_backend", "no_room", "restarted_backend",
+	"evacuated", "cold_backend", "no_room", "restarted_backend", "late",
 }
 
 // String returns the name of the reason that logs and metrics use.
@@ -158,6 +181,9 @@
 }
 
 func (f *Flows) decideFirst(route *Route, packet Packet, now time.Time) Decision {
+	if packet.openingEnded() {
+		return Decision{Verdict: Drop, Reason: ReasonLate}
+	}
 	if route == nil {
 		return Decision{Verdict: Refuse, Reason: ReasonNoRoute}
 	}
--- a/internal/tokenroute/tokenroute_test.go
+++ b/internal/tokenroute/tokenroute_test.go
@@ -176,6 +176,32 @@
 	require.Equal(t, Refuse, flows.Decide(table, firstPacket(1), at(1550)).Verdict, "a retransmission is not an exception")
 }
 
+// Guards against flows that a balancer breaks after it stood still: the SYNs that it finds in its
+// socket are of flows that have opened through other balancers, or were given up. A back end
+// that gets one now answers, and the flow's token then names that back end, which does not hold
+// the flow. A SYN whose client still waits is sent on, however long it waited.
+func TestFirstPacketOfEndedOpeningIsDropped(t *testing.T) {
+	table := NewTable(newDirectory(routes(1, route(1, share("lending", 1))), backend(2, 7, "lending")), defaultOptions())
+	for _, each := range []struct {
+		waited         time.Duration
+		retransmission bool
+		verdict        Verdict
+	}{
+		{waited: 0, verdict: Forward},
+		{waited: 1399 * time.Millisecond, verdict: Forward},
+		{waited: 1400 * time.Millisecond, verdict: Drop},
+		{waited: 1199 * time.Millisecond, retransmission: true, verdict: Forward},
+		{waited: 1200 * time.Millisecond, retransmission: true, verdict: Drop},
+	} {
+		packet := firstPacket(1)
+		packet.Waited, packet.Retransmission = each.waited, each.retransmission
+		require.Equal(t, each.verdict, NewFlows(mechanism.Set{}).Decide(table, packet, start).Verdict, "%+v", each)
+	}
+	later := laterPacket(1, 7)
+	later.Waited = time.Minute
+	require.Equal(t, Forward, NewFlows(mechanism.Set{}).Decide(table, later, start).Verdict, "packets of open flows are not first packets")
+}
+
 // A tombstone that was received as such may be of any age, so there is no grace period (soak seeds
 // 22 and 23).
 func TestReceivedTombstonesHaveNoGracePeriod(t *testing.T) {
