Replication: who has read in place of others reads first while the failure lasts

With 88 listed and one balancer left that the store serves, calls rose by two fifths when each of the others began to ping the store by the deadline.

Each time that the data gets stale, all of them tried again at random times, whoever had read it last. Now a balancer that has read it in place of others reads again in the first third of the period, without a ping, and the others leave it that time, in which its data reaches most of them. A failed call ends it. Ages are bounded as before: all still try by ReadAge.

TestBalancerThatReadForOthersReadsFirst failed with the change taken out. newUpToDateCores now says that its balancers follow others, as its comment did.

--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -391,6 +391,7 @@
 	c.pollFailures++
 	c.failedPollAt = c.pollStartedAt
 	c.pingAnswered = false
+	c.readAsStandby = false
 	c.nextPoll = now.Add(half + c.randomUpTo(half))
 }
 
--- a/internal/replication/served_test.go
+++ b/internal/replication/served_test.go
@@ -372,6 +372,44 @@
 	require.False(t, core.staleSnapshotRead)
 }
 
+// Guards against tries of all others each time that the data gets stale while the store serves
+// one balancer only: the one that has read it in their place reads again before they try, as
+// long as the store serves it.
+func TestBalancerThatReadForOthersReadsFirst(t *testing.T) {
+	s := site{listed: 88, deadline: 5 * time.Second, readsPerSecond: 6000}
+	cores := newUpToDateCores(t, s)
+	served, others := cores[len(cores)-1], cores[:len(cores)-1]
+	now := startTime.Add(s.timing().ReadAge)
+	for _, poll := range []Poll{PollPing, PollCatchUp} {
+		now = now.Add(time.Millisecond)
+		served.RecordActivity(address(0), now)
+		require.Equal(t, poll, served.NextPoll(now))
+		served.PollStarted(poll, now)
+		served.PollSucceeded(poll, false, now)
+	}
+	for _, core := range cores {
+		core.Confirm(now)
+		require.True(t, core.ReadsStore() || core.NextPoll(now.Add(s.timing().PollInterval)) == PollNone)
+	}
+	head := s.timing().pingPeriod(s.listed) / headStartDivisor
+	now = now.Add(s.timing().StaleAge + head - time.Millisecond)
+	served.RecordActivity(address(0), now)
+	require.Equal(t, PollCatchUp, served.NextPoll(now), "it does not ping first")
+	for _, core := range others {
+		if core.mayReadForOthers() {
+			continue
+		}
+		core.RecordActivity(address(0), now)
+		require.Equal(t, PollNone, core.NextPoll(now))
+		require.GreaterOrEqual(t, core.ageToPing(), s.timing().StaleAge+head)
+		require.LessOrEqual(t, core.ageToPing(), s.timing().ReadAge)
+	}
+	served.PollFailed(now)
+	now = now.Add(s.timing().ReadAge)
+	served.RecordActivity(address(0), now)
+	require.Equal(t, PollPing, served.NextPoll(now), "the store serves it no longer")
+}
+
 // newUpToDateCores returns all balancers of a site. They share one tree, in which each has
 // its own position.
 func newUpToDateCores(t *testing.T, s site) []*Core {
@@ -393,6 +431,7 @@
 			core.tree = &placed
 			core.Confirm(f.now)
 			core.PollSucceeded(PollSnapshot, false, f.now)
+			core.readAsStandby = false // it follows another one
 			cores = append(cores, core)
 		}
 	}
--- a/internal/replication/standby.go
+++ b/internal/replication/standby.go
@@ -74,7 +74,11 @@
 		if isolated || age > c.config.Timing.StaleAge+delay {
 			return c.exactPoll()
 		}
-	case age >= c.ageToPing():
+	case age < c.ageToPing():
+		return PollNone
+	case c.readAsStandby:
+		return c.exactPoll()
+	default:
 		return PollPing
 	}
 	return PollNone
@@ -104,15 +108,27 @@
 }
 
 // ageToPing returns the age of the data at which this balancer pings the store, between
-// StaleAge and ReadAge.
+// StaleAge and ReadAge, or reads it if it was the last to do so in place of others. Such a
+// balancer has the first part of the time for itself: while the failure lasts, its data
+// makes most pings unnecessary.
 func (c *Core) ageToPing() time.Duration {
 	if c.pingAge == 0 {
 		timing := c.config.Timing
-		c.pingAge = timing.StaleAge + c.spread(c.tree.size, earlyTriesPerSecond, timing.pingPeriod(c.tree.size))
+		period := timing.pingPeriod(c.tree.size)
+		head := period / headStartDivisor
+		if c.readAsStandby {
+			c.pingAge = timing.StaleAge + c.randomUpTo(head)
+			return c.pingAge
+		}
+		c.pingAge = timing.StaleAge + head + c.spread(c.tree.size, earlyTriesPerSecond, period-head)
 	}
 	return c.pingAge
 }
 
+// headStartDivisor divides the period in which balancers ping the store. The quotient is
+// how long they leave it to one that has read the store before.
+const headStartDivisor = 3
+
 // pingPeriod returns the period after StaleAge in which a number of balancers ping the
 // store.
 func (t Timing) pingPeriod(count int) time.Duration {
