Soak: the report of a breach tells when the process of the test did not run

That process plays the store, the back ends and the clients. Beside load a request may be late because it did not get a processor; nothing told that from a late balancer. No check or bound changes.

--- a/test/e2e/history_test.go
+++ b/test/e2e/history_test.go
@@ -59,6 +59,9 @@
 	// ports from which a back end received first packets.
 	runs        map[string]int
 	openedPorts map[uint16]bool
+	// stalls are the times at which the process that plays the store, the back ends and the
+	// clients did not run.
+	stalls []span
 	// startedAt is the time that reported times are relative to.
 	startedAt time.Time
 	// violations are those that were found while the soak ran.
@@ -143,5 +146,5 @@
 	if left, leaving := history.leaving[entry.server]; leaving {
 		text += fmt.Sprintf(", %.2f s after it began to leave", entry.at.Sub(left).Seconds())
 	}
-	return text
+	return text + "; " + history.describeStalls(entry.at, entry.ended)
 }
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -78,6 +78,7 @@
 	eventIndex   int
 	reservations reservations
 	refusals     refusals
+	stalls       stalls
 	bursting     atomic.Bool
 	// stopPending is set while a planned stop waits until it may begin. stopCount counts the
 	// planned stops that were carried out.
@@ -126,6 +127,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
+	callers.Go(func() { soak.stalls.watch(ctx) })
 	for number := range soakClients {
 		callers.Go(func() { soak.runCaller(ctx, number) })
 	}
@@ -138,6 +140,7 @@
 	time.Sleep(settleTime)
 	cancel()
 	callers.Wait()
+	soak.history.stalls = soak.stalls.recorded()
 	soak.verify(seed)
 }
 
