Soak of refusals: back ends without an entry are cut off; the checks count the time that the test ran

A reset within 4 s of the cut is excused for flows of that back end; requests sent during it may be late.

A balancer cannot be told late by a clock that stood still, so the checks of drain, configuration and latency count the time in which that process ran. Nothing else changes: with no such gap each bound is what it was, and gaps of a balancer excuse nothing. TestCheckerDetectsEachViolation has a history on either side of each new bound.

--- a/test/e2e/checker_histories_test.go
+++ b/test/e2e/checker_histories_test.go
@@ -52,6 +52,50 @@
 	excused.dead["lending/i-1"] = timeAt(19)
 	require.Empty(t, excused.check(), "its back end had stopped")
 
+	stalled := build(answeredOpening(14.6, "lending/i-1"))
+	stalled.leaving["lending/i-1"] = timeAt(11)
+	stalled.stalls = []span{{from: timeAt(10.5), until: timeAt(11.5)}, {from: timeAt(14), until: timeAt(14.2)}}
+	require.Empty(t, stalled.check(), "the store did not run for 0.7 s of the 3.6 s")
+	stalled.stalls[0].until = timeAt(11.3)
+	require.Len(t, stalled.check(), 1, "it ran for 3.1 s")
+	stalled.stalls = []span{{from: timeAt(8), until: timeAt(11)}, {from: timeAt(14.6), until: timeAt(18)}}
+	require.Len(t, stalled.check(), 1, "it ran all the time between")
+	stalled = build(laterRequest(outcomeAnswered, "lending/i-1"))
+	stalled.attempts[0].ended = timeAt(21.5)
+	stalled.stalls = []span{{from: timeAt(19), until: timeAt(20.6)}}
+	require.Empty(t, stalled.check(), "its client did not run for 0.6 s of the 1.5 s")
+	stalled.stalls[0].until = timeAt(20.4)
+	require.Len(t, stalled.check(), 1, "1.1 s without the stall")
+	stalled = build(answeredOpening(13.5, "covers/i-1"))
+	stalled.pools["lending"] = []poolSpan{{pool: "covers", span: span{from: timeAt(1), until: timeAt(10)}}, {pool: "lending", span: span{from: timeAt(10)}}}
+	require.Len(t, stalled.check(), 1, "older configuration")
+	stalled.stalls = []span{{from: timeAt(11), until: timeAt(11.6)}}
+	require.Empty(t, stalled.check(), "the store ran for 2.9 s since the change")
+
+	stalled = build(laterRequest(outcomeBroken, ""))
+	stalled.attempts[0].ended = timeAt(20.95)
+	stalled.stalls = []span{{from: timeAt(20.3), until: timeAt(20.9)}}
+	require.Empty(t, stalled.check(), "its back end did not run for 0.6 s")
+	stalled.stalls[0].until = timeAt(20.7)
+	require.Len(t, stalled.check(), 1, "reset though it did not run for 0.4 s only")
+	stalled.stalls = []span{{from: timeAt(18), until: timeAt(19.9)}}
+	require.Len(t, stalled.check(), 1, "reset though it ran during the request")
+
+	cut := build(laterRequest(outcomeBroken, ""))
+	cut.cuts = map[string][]span{"lending/i-1": {{from: timeAt(13), until: timeAt(17)}}}
+	require.Empty(t, cut.check(), "its back end was cut off until 3 s before")
+	cut.cuts["lending/i-1"][0].until = timeAt(15.9)
+	require.Len(t, cut.check(), 1, "reset 4.1 s after the cut")
+	cut.cuts = map[string][]span{"lending/i-2": {{from: timeAt(13), until: timeAt(17)}}}
+	require.Len(t, cut.check(), 1, "another back end was cut off")
+	cut = build(laterRequest(outcomeAnswered, "lending/i-1"))
+	cut.attempts[0].ended = timeAt(21.5)
+	require.Len(t, cut.check(), 1, "delayed")
+	cut.cuts = map[string][]span{"lending/i-1": {{from: timeAt(18), until: timeAt(20.2)}}}
+	require.Empty(t, cut.check(), "sent while its back end was cut off")
+	cut.cuts["lending/i-1"][0].until = timeAt(19.9)
+	require.Len(t, cut.check(), 1, "sent after the cut")
+
 	drained := build(answeredOpening(14, "lending/i-1"))
 	drained.leaving["lending/i-1"] = timeAt(10)
 	require.Len(t, drained.check(), 1, "drain")
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -62,7 +62,10 @@
 		"leave":  func(soak *soak, _ event) { soak.leave("draining") },
 		"vanish": func(soak *soak, _ event) { soak.leave("vanishing") },
 		"move":   func(soak *soak, _ event) { soak.moveRoute() },
-		"burst":  func(soak *soak, next event) { soak.burst(next.duration) },
+
+		"vanish-cut": func(soak *soak, next event) { soak.vanishAndCut(next.duration) },
+
+		"burst": func(soak *soak, next event) { soak.burst(next.duration) },
 
 		"settings":        func(soak *soak, next event) { soak.changeSettings(next.balancer, next.duration) },
 		"settings-faulty": func(soak *soak, next event) { soak.breakSettings(next.balancer, next.duration) },
--- a/test/e2e/history_test.go
+++ b/test/e2e/history_test.go
@@ -47,6 +47,8 @@
 	leaving, dead map[string]time.Time
 	// crashed are the back ends that stopped without having been drained or removed.
 	crashed map[string]bool
+	// cuts are the spans in which each back end received nothing.
+	cuts map[string][]span
 	// disturbances are the faults of the store or of balancers, with their times.
 	disturbances []disturbance
 	// blackholes are the times at which open connections of balancers stopped carrying data.
@@ -108,6 +110,14 @@
 	return true
 }
 
+// cutOff reports whether the back end of an attempt's flow received nothing at some time
+// during the attempt, or until a time before it.
+func (history *history) cutOff(attempt attempt, before time.Duration) bool {
+	return slices.ContainsFunc(history.cuts[attempt.previousServer], func(cut span) bool {
+		return cut.from.Before(attempt.ended) && cut.until.Add(before).After(attempt.at)
+	})
+}
+
 // allowedDelay returns the extra time that an update may take to reach the balancers of an
 // attempt. It isn't zero if open connections of one of them have just stopped carrying data.
 func (history *history) allowedDelay(attempt attempt) time.Duration {
--- a/test/e2e/leaving_test.go
+++ b/test/e2e/leaving_test.go
@@ -70,6 +70,43 @@
 	})
 }
 
+// cutTime is how long a back end without an entry is cut off.
+const cutTime = 2 * time.Second
+
+// vanishAndCut removes the entry of a back end, which serves on, and cuts it off after a
+// pause. It answers again after cutTime and stops once its flows have been checked for
+// settleTime without the cut.
+func (soak *soak) vanishAndCut(pause time.Duration) {
+	id := soak.oldestReady("lending")
+	if id == "" {
+		soak.markSkipped()
+		return
+	}
+	soak.addBackend("lending")
+	soak.removeEntry(id)
+	soak.recordTime(soak.history.leaving, id)
+	soak.mutex.Lock()
+	backend := soak.backends[id]
+	soak.mutex.Unlock()
+	soak.activeFaults.Go(func() {
+		time.Sleep(pause)
+		from := time.Now()
+		backend.SetUnreachable(true)
+		time.Sleep(cutTime)
+		backend.SetUnreachable(false)
+		soak.recordCut("lending/"+id, span{from: from, until: time.Now()})
+		time.Sleep(2 * settleTime)
+		soak.terminateBackend(id)
+	})
+}
+
+// recordCut records that a back end received nothing for a time.
+func (soak *soak) recordCut(server string, cut span) {
+	soak.historyMutex.Lock()
+	defer soak.historyMutex.Unlock()
+	soak.history.cuts[server] = append(soak.history.cuts[server], cut)
+}
+
 // crash stops back ends at once and starts replacements. Their entries are removed a little later.
 func (soak *soak) crash(ids ...string) {
 	for _, id := range ids {
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -79,7 +79,9 @@
 	reservations reservations
 	refusals     refusals
 	stalls       stalls
-	bursting     atomic.Bool
+	// keepingCallers is the number of callers that keep their flows.
+	keepingCallers int
+	bursting       atomic.Bool
 	// stopPending is set while a planned stop waits until it may begin. stopCount counts the
 	// planned stops that were carried out.
 	stopPending atomic.Bool
@@ -131,6 +133,9 @@
 	for number := range soakClients {
 		callers.Go(func() { soak.runCaller(ctx, number) })
 	}
+	for number := range soak.keepingCallers {
+		callers.Go(func() { soak.runKeepingCaller(ctx, number) })
+	}
 	for index, next := range soak.plan {
 		time.Sleep(time.Until(soak.startedAt.Add(next.at)))
 		soak.eventIndex = index
@@ -149,6 +154,7 @@
 	created := &soak{site: site, plan: chosen, movingPool: "lending"}
 	created.history = history{pools: make(map[string][]poolSpan), leaving: make(map[string]time.Time), dead: make(map[string]time.Time),
 		crashed:          make(map[string]bool),
+		cuts:             make(map[string][]span),
 		overloadedRoutes: map[string]bool{"urgent": true, "patient": true}}
 	created.configureRoutes()
 	now := time.Now()
