--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -161,6 +161,7 @@
 		}
 		server := strings.TrimSuffix(string(got.packet.Data), " "+body)
 		f.client.site.record.line("client: %q on flow %s is answered by %s", body, f.id(), server)
+		f.client.site.answered.Add(1)
 		return server, nil
 	}
 	return "", errDeadline
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"sort"
 	"syscall"
 	"time"
@@ -22,6 +23,9 @@
 // caseLimit is the longest time that a case may take.
 const caseLimit = 110 * time.Second
 
+// leastAnswered is how many requests must have been answered for a case to count as played.
+const leastAnswered = 1000
+
 // exit codes of a case.
 const (
 	exitHeld   = 0
@@ -38,7 +42,11 @@
 	"leaving-backend": playLeavingBackend,
 }
 
-func main() { os.Exit(run()) }
+func main() {
+	// Balancers are told when the thread that started them ends, so it must be one that stays.
+	runtime.LockOSThread()
+	os.Exit(run())
+}
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
@@ -56,7 +64,7 @@
 		return exitNotRun
 	}
 	defer record.close()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, caseLimit)
 	defer cancel()
@@ -73,6 +81,9 @@
 	case err != nil || ctx.Err() != nil:
 		record.line("could not run: %v %v", err, ctx.Err())
 		return exitNotRun
+	case site.answered.Load() < leastAnswered:
+		record.line("could not run: only %d requests were answered", site.answered.Load())
+		return exitNotRun
 	case !held:
 		record.line("result: the rule was broken")
 		return exitBroken
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -61,7 +61,9 @@
 	lateOpenings int
 	// broken counts the open flows that were reset by another than their back end.
 	broken int
-	over   atomic.Bool
+	// answered counts the requests that were answered.
+	answered atomic.Int64
+	over     atomic.Bool
 }
 
 func newSite(ctx context.Context, record *record) (*site, error) {
@@ -69,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{ctx: ctx, record: record, folder: folder, network: 16 + rand.IntN(200), route: netip.MustParseAddrPort("198.18.0.1:443"),
+	s := &site{ctx: ctx, record: record, folder: folder, network: 16 + rand.IntN(200), route: netip.MustParseAddrPort("127.198.0.1:443"),
 		store:    metadata.New(storePageSize),
 		backends: make(map[netip.AddrPort]*backend), begun: make(map[flowID]time.Time), openers: make(map[flowID]*backend), deadlines: make(map[*backend]time.Time)}
 	s.dataPort = uint16(20000 + rand.IntN(10000))
@@ -278,6 +280,8 @@
 	n.command = exec.Command("target/balancer")
 	n.command.Env = append(os.Environ(), "INDIGOBARROW_CONFIG="+n.settings)
 	n.command.Stdout, n.command.Stderr = log, log
+	// The balancer ends with this process, whatever ends that.
+	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := n.command.Start(); err != nil {
 		return err
 	}
@@ -307,6 +311,9 @@
 // stop ends all processes and removes the folder.
 func (s *site) stop() {
 	for _, n := range s.nodes {
+		if n.ended == nil {
+			continue
+		}
 		_ = n.command.Process.Kill()
 		<-n.ended
 	}
