--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -12,7 +12,6 @@
 	"net/netip"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,7 +39,6 @@
 type site struct {
 	ctx      context.Context
 	record   *record
-	folder   string
 	network  int
 	dataPort uint16
 	route    netip.AddrPort
@@ -67,11 +65,7 @@
 }
 
 func newSite(ctx context.Context, record *record) (*site, error) {
-	folder, err := os.MkdirTemp("", "review-2-")
-	if err != nil {
-		return nil, err
-	}
-	s := &site{ctx: ctx, record: record, folder: folder, network: 16 + rand.IntN(200), route: netip.MustParseAddrPort("127.198.0.1:443"),
+	s := &site{ctx: ctx, record: record, network: 16 + rand.IntN(200), route: netip.MustParseAddrPort("127.198.0.1:443"),
 		store:    metadata.New(storePageSize),
 		backends: make(map[netip.AddrPort]*backend), begun: make(map[flowID]time.Time), openers: make(map[flowID]*backend), deadlines: make(map[*backend]time.Time)}
 	s.dataPort = uint16(20000 + rand.IntN(10000))
@@ -244,7 +238,7 @@
 		seeds = append(seeds, fmt.Sprintf("%s:%d", s.address(2, seed+1), s.dataPort+3))
 	}
 	n := &node{site: s, name: fmt.Sprintf("edge-%d", number), zone: zone, addr: addr, data: netip.AddrPortFrom(addr, s.dataPort),
-		readiness: fmt.Sprintf("%s:%d", addr, s.dataPort+2), settings: filepath.Join(s.folder, fmt.Sprintf("edge-%d.yaml", number))}
+		readiness: fmt.Sprintf("%s:%d", addr, s.dataPort+2)}
 	lines := []string{
 		fmt.Sprintf("name: %q", n.name), fmt.Sprintf("zone: %q", zone), fmt.Sprintf("data_address: %q", n.data),
 		fmt.Sprintf("readiness_address: %q", n.readiness), fmt.Sprintf("peer_address: \"%s:%d\"", addr, s.dataPort+3),
@@ -252,9 +246,7 @@
 		fmt.Sprintf("seeds: %q", strings.Join(seeds, ",")), "flow_seconds: 60", "stop_seconds: 6", "configuration_milliseconds: 3000",
 		"drain_milliseconds: 3000", "heartbeat_milliseconds: 1200", "processor_cores: 0.288", "link_megabits: 1000",
 	}
-	if err := os.WriteFile(n.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
-		return nil, err
-	}
+	n.settings = strings.Join(lines, "\n") + "\n"
 	s.nodes = append(s.nodes, n)
 	s.router.add(n)
 	return n, n.start()
@@ -270,16 +262,31 @@
 	return nil
 }
 
+// unnamedFile returns a file with the given text that has no name any more, so that nothing is
+// left of it whatever ends this process.
+func unnamedFile(text string) (*os.File, error) {
+	file, err := os.CreateTemp("", "review-2-")
+	if err != nil {
+		return nil, err
+	}
+	if err := os.Remove(file.Name()); err != nil {
+		return nil, err
+	}
+	_, err = file.WriteString(text)
+	return file, err
+}
+
 // start starts the process with the command of the deploy file.
 func (n *node) start() error {
-	log, err := os.OpenFile(n.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	settings, err := unnamedFile(n.settings)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = log.Close() }()
+	defer func() { _ = settings.Close() }()
 	n.command = exec.Command("target/balancer")
-	n.command.Env = append(os.Environ(), "INDIGOBARROW_CONFIG="+n.settings)
-	n.command.Stdout, n.command.Stderr = log, log
+	// The first extra file is descriptor 3 of the process.
+	n.command.ExtraFiles = []*os.File{settings}
+	n.command.Env = append(os.Environ(), "INDIGOBARROW_CONFIG=/proc/self/fd/3")
 	// The balancer ends with this process, whatever ends that.
 	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := n.command.Start(); err != nil {
@@ -308,7 +315,7 @@
 	return n.start()
 }
 
-// stop ends all processes and removes the folder.
+// stop ends all processes.
 func (s *site) stop() {
 	for _, n := range s.nodes {
 		if n.ended == nil {
@@ -318,9 +325,6 @@
 		<-n.ended
 	}
 	_ = s.server.Close()
-	if os.Getenv("KEEP_LOGS") == "" {
-		_ = os.RemoveAll(s.folder)
-	}
 }
 
 // settle waits until all balancers are in and connectedTime has passed since.
