Logs: decision lines carry the sequence numbers of their packet

Flows that use the same addresses and ports one after the other stand under one name in the log. Lines now carry the sequence number, that of an open flow the acknowledgement too, and an overruled token.

TestLinesTellFlowsWithTheSameKeyApart fails without the change. Lines stay limited in number by kind.

--- a/internal/balancer/decisionlog.go
+++ b/internal/balancer/decisionlog.go
@@ -80,6 +80,10 @@
 			slog.Float64("refused_part", rounded(refused.Fraction)), slog.Float64("pressure", rounded(refused.Pressure.RequestsPerSlot)),
 			slog.Duration("pressure_age", refused.Pressure.Age(now).Round(time.Millisecond)))
 	}
+	attributes = append(attributes, numbers(packet)...)
+	if decision.Reason == tokenroute.ReasonOpenedElsewhere {
+		attributes = append(attributes, slog.Uint64("token", uint64(packet.Token)))
+	}
 	level := slog.LevelInfo
 	if kind == lineFailure || kind == lineNoCapacity {
 		level = slog.LevelWarn
@@ -87,6 +91,15 @@
 	d.logger.LogAttrs(context.Background(), level, message, attributes...)
 }
 
+// numbers returns the attributes that tell the flow of a packet from others with the same key.
+func numbers(packet tokenroute.Packet) []slog.Attr {
+	sequence := slog.Uint64("sequence", uint64(packet.Sequence))
+	if packet.First {
+		return []slog.Attr{sequence}
+	}
+	return []slog.Attr{sequence, slog.Uint64("acknowledged", uint64(packet.Acknowledged))}
+}
+
 // rounded rounds a number to two decimals for log lines.
 func rounded(figure float64) float64 { return math.Round(figure*100) / 100 }
 
--- a/internal/balancer/decisionlog_test.go
+++ b/internal/balancer/decisionlog_test.go
@@ -62,3 +62,17 @@
 	require.Contains(t, written.String(), "reason=no_route")
 	require.Equal(t, lineLimits[lineNoCapacity], strings.Count(written.String(), "reason=no_room"))
 }
+
+// Flows that use the same addresses and ports one after the other can be told apart in the log by
+// the numbers of their packets, and an overruled token is named.
+func TestLinesTellFlowsWithTheSameKeyApart(t *testing.T) {
+	var written bytes.Buffer
+	log := decisionLog{logger: slog.New(slog.NewTextHandler(&written, nil))}
+	now := time.Now()
+	backend := &tokenroute.Backend{ID: "i-1"}
+	log.record(tokenroute.Packet{First: true, Sequence: 70}, nil, tokenroute.Decision{Reason: tokenroute.ReasonNewFlow, Backend: backend}, nil, now)
+	log.record(tokenroute.Packet{Sequence: 71, Acknowledged: 500, Token: 9}, nil,
+		tokenroute.Decision{Reason: tokenroute.ReasonOpenedElsewhere, Backend: backend}, nil, now)
+	require.Regexp(t, "reason=new_flow .*sequence=70\n", written.String())
+	require.Regexp(t, "reason=kept .*sequence=71 acknowledged=500 token=9\n", written.String())
+}
