Token routing: a later flow of a port is told from the one before by its numbers

Cause: a balancer keeps the state of a flow by addresses and ports for 3 to 6 s. backendFor took its opener for that of any packet with the same key and overruled the token. Ruled out: a wrong token (both lines name the right one) and a late SYN.

flow.Numbers now holds what tells a flow from the one before: a SYN belongs to a flow only as a copy of its own, other packets by both sequence number and acknowledgement, and none beyond the end. A packet of a later flow begins a new state, so that its request, response time, load and opener are its own too; a late packet of the former flow leaves that state alone.

--- a/internal/tokenroute/decide.go
+++ b/internal/tokenroute/decide.go
@@ -25,6 +25,11 @@
 	Waited time.Duration
 }
 
+// segment returns the numbers that tell the packet's flow from others with the same key.
+func (p Packet) segment() flow.Segment {
+	return flow.Segment{SYN: p.First, Closes: p.Closing, Sequence: p.Sequence, Acknowledged: p.Acknowledged, Length: uint32(p.Length)}
+}
+
 const (
 	// openingTimeout is how long after the first packet a client gives up the opening of a flow
 	// that was not answered.
@@ -134,7 +139,10 @@
 		return Decision{Verdict: Drop, Reason: ReasonUnknownToken}
 	}
 	f.rotate(now)
-	state := f.flowCache.find(packet.Key)
+	state, former := f.flowCache.match(packet, now)
+	if former {
+		return Decision{Verdict: Forward, Reason: ReasonToken, Backend: backend}
+	}
 	chosen := f.backendFor(state, backend, now)
 	if f.observe(packet, state, chosen, now) {
 		return Decision{Verdict: Refuse, Reason: ReasonDeadBackend, Backend: chosen}
@@ -158,6 +166,7 @@
 	}
 	if state == nil && packet.Length > 0 {
 		state = f.flowCache.add(packet.Key)
+		state.numbers.Add(packet.segment())
 		state.firstRequestAt = firstRequestAt
 	}
 	if state != nil {
--- a/internal/tokenroute/flowcache.go
+++ b/internal/tokenroute/flowcache.go
@@ -20,8 +20,11 @@
 
 // flowState is the state of a flow that passed here recently.
 type flowState struct {
-	opening flowOpening
-	tracker requestTracker
+	// numbers tell the packets of this flow from those of the flow before it with the same key,
+	// whose numbers are in former.
+	numbers, former flow.Numbers
+	opening         flowOpening
+	tracker         requestTracker
 	// cached is set while the cache holds this state. Only then is the flow counted anywhere.
 	cached bool
 	// load is the back end load that the flow is counted in, or nil.
@@ -177,6 +180,33 @@
 	return state
 }
 
+// match returns the state of the flow that a later packet belongs to, or nil if it is not cached. If
+// the packet belongs to a flow that came after the cached one with the same key, the state begins
+// anew. A late packet of the flow before the cached one is reported as former.
+func (c *flowCache) match(packet Packet, now time.Time) (state *flowState, former bool) {
+	segment := packet.segment()
+	state = c.find(packet.Key)
+	switch {
+	case state == nil:
+		return nil, false
+	case state.numbers.Contains(segment):
+	case !state.former.IsZero() && state.former.Contains(segment):
+		return nil, true
+	default:
+		state = c.replace(packet.Key, state, now)
+	}
+	state.numbers.Add(segment)
+	return state, false
+}
+
+// replace returns a new state for a flow that came after the cached one with the same key.
+func (c *flowCache) replace(key flow.Key, former *flowState, now time.Time) *flowState {
+	c.remove(key, former, now)
+	state := c.add(key)
+	state.former = former.numbers
+	return state
+}
+
 // remove removes a flow.
 func (c *flowCache) remove(key flow.Key, state *flowState, now time.Time) {
 	state.detach(now)
