Token routing: a SYN that is no copy of the remembered one opens another flow

Cause: chooseForFirst answered with the opener that it remembered for the addresses and ports before it asked the route, the preferences and the end of the back end; close keeps that opener, and each new flow refreshed it.

A SYN is now a copy only if it has the number of the cached one and passes within 2 s of it. Any other SYN ends what is known of the former flow, so it is chosen for by today's route; a copy still goes where its flow has opened. A copy of the former flow's SYN is dropped, since its answer would change the token of the flow after it. A refusal spares only copies of a SYN that was sent on here.

--- a/internal/tokenroute/decide.go
+++ b/internal/tokenroute/decide.go
@@ -88,7 +88,8 @@
 	// ReasonRestarted means that the back end has restarted since the flow was opened, and holds no
 	// flows from before.
 	ReasonRestarted
-	// ReasonLate means that the opening of the flow had ended when its first packet was read.
+	// ReasonLate means that the opening of the flow had ended when its first packet was read, or that
+	// the flow was followed by another one with the same key.
 	ReasonLate
 	reasonCount
 )
@@ -190,7 +191,7 @@
 }
 
 func (f *Flows) decideFirst(route *Route, packet Packet, now time.Time) Decision {
-	if packet.openingEnded() {
+	if packet.openingEnded() || f.flowCache.opensFormer(packet) {
 		return Decision{Verdict: Drop, Reason: ReasonLate}
 	}
 	if route == nil {
@@ -200,7 +201,7 @@
 		f.CountRefusal(refusal.Pool)
 		return Decision{Verdict: Refuse, Reason: ReasonNoCapacity, Refusal: refusal}
 	}
-	chosen := f.ChooseForFirst(route, packet.Key, now)
+	chosen := f.chooseForFirst(route, packet, now)
 	if chosen == nil {
 		ended := func(backend *Backend) bool { return f.table.ended(backend, now) }
 		return Decision{Verdict: Refuse, Reason: route.refusalReason(packet.Key.Hash(), ended)}
--- a/internal/tokenroute/flowcache.go
+++ b/internal/tokenroute/flowcache.go
@@ -199,6 +199,27 @@
 	return state, false
 }
 
+// matchFirst returns the state of the flow that a first packet opens. If the packet is not a copy of
+// the one that opened the cached flow, the state begins anew.
+func (c *flowCache) matchFirst(packet Packet, now time.Time) *flowState {
+	segment, state := packet.segment(), c.find(packet.Key)
+	switch {
+	case state == nil:
+		state = c.add(packet.Key)
+	case !state.numbers.Contains(segment) || state.opening.copiesEnded(now):
+		state = c.replace(packet.Key, state, now)
+	}
+	state.numbers.Add(segment)
+	return state
+}
+
+// opensFormer reports whether a first packet is a copy of the one that opened the flow before the
+// cached one with the same key.
+func (c *flowCache) opensFormer(packet Packet) bool {
+	state, segment := c.find(packet.Key), packet.segment()
+	return state != nil && !state.numbers.Contains(segment) && !state.former.IsZero() && state.former.Contains(segment)
+}
+
 // replace returns a new state for a flow that came after the cached one with the same key.
 func (c *flowCache) replace(key flow.Key, former *flowState, now time.Time) *flowState {
 	c.remove(key, former, now)
--- a/internal/tokenroute/flows.go
+++ b/internal/tokenroute/flows.go
@@ -97,17 +97,15 @@
 	return taken
 }
 
-// ChooseForFirst returns the back end for the first packet of a flow, or for a retransmission of
-// it, or nil if the route has none. A retransmission that comes before the answer was due, or after
-// maxAttempts back ends were tried, goes to the same back end as the earlier packet, provided that
-// this one still takes new flows.
-func (f *Flows) ChooseForFirst(route *Route, key flow.Key, now time.Time) *Backend {
+// chooseForFirst returns the back end for the first packet of a flow, or for a retransmission of
+// it, or nil if the route has none. A retransmission goes to the back end that has opened the flow. If
+// that is not known, one that comes before the answer was due, or after maxAttempts back ends were
+// tried, goes to the same back end as the earlier packet, provided that this one still takes new
+// flows.
+func (f *Flows) chooseForFirst(route *Route, packet Packet, now time.Time) *Backend {
 	f.rotate(now)
 	f.collectOverdue(now)
-	state := f.flowCache.find(key)
-	if state == nil {
-		state = f.flowCache.add(key)
-	}
+	state := f.flowCache.matchFirst(packet, now)
 	o := &state.opening
 	if o.openedBy != nil {
 		return o.openedBy
@@ -116,7 +114,7 @@
 		return o.last()
 	}
 	prefer := func(backend *Backend) Preference { return f.preference(o, backend, now) }
-	chosen := route.Choose(key.Hash(), prefer, f.usage)
+	chosen := route.Choose(packet.Key.Hash(), prefer, f.usage)
 	if chosen == nil {
 		return nil
 	}
@@ -179,6 +177,8 @@
 	o := &state.opening
 	if o.count > 0 {
 		f.Retried.Add(1)
+	} else {
+		o.startedAt = now
 	}
 	f.warmupLimiter.record(chosen, now)
 	f.countNewFlow(chosen, o.count == 0)
--- a/internal/tokenroute/opening.go
+++ b/internal/tokenroute/opening.go
@@ -10,6 +10,9 @@
 	ResponseTimeout = 150 * time.Millisecond
 	// maxAttempts is the number of back ends that one new flow is sent to.
 	maxAttempts = 3
+	// copyTimeout is the time within which the copies of a first packet pass. Clients send the last
+	// one after 600 ms.
+	copyTimeout = 2 * time.Second
 	// inFlightWeight is the number of open flows that count as much as one request in flight. A
 	// request in flight occupies a slot or a place in a queue now, while an open flow may stay idle
 	// for long. A weight of 1 lowered the fraction served in bursts by 0.003 in each of two fleets
@@ -25,12 +28,19 @@
 type flowOpening struct {
 	attempts [maxAttempts]*Backend
 	count    int
+	// startedAt is when the first packet was first sent to a back end.
+	startedAt time.Time
 	// sentAt is when the first packet was last sent to a back end.
 	sentAt time.Time
 	// openedBy is the back end whose answer the client accepted.
 	openedBy *Backend
 }
 
+// copiesEnded reports whether a first packet that passes now is no copy of the flow's own.
+func (o *flowOpening) copiesEnded(now time.Time) bool {
+	return o.count > 0 && now.Sub(o.startedAt) >= copyTimeout
+}
+
 func (o *flowOpening) last() *Backend { return o.attempts[o.count-1] }
 
 func (o *flowOpening) wasTried(backend *Backend) bool {
--- a/internal/tokenroute/refusal.go
+++ b/internal/tokenroute/refusal.go
@@ -28,7 +28,8 @@
 	if refusal == nil {
 		return nil
 	}
-	if state := f.flowCache.find(key); state != nil && (state.opening.count > 0 || state.tracker.backend != nil) {
+	state := f.flowCache.find(key)
+	if state != nil && state.numbers.Contains(packet.segment()) && (state.opening.count > 0 || state.tracker.backend != nil) {
 		return nil
 	}
 	return refusal
