Token routing: a flow that two back ends answered keeps its opener at rest

Cause: a balancer forgot the opener with the cached state, 3 to 6 s after the last packet. Idle flows are remembered for as long as the operators let flows rest; they now keep the opener, 8 bytes each.

TestFlowAnsweredByTwoBackendsStaysWithOpenerAfterRest fails without it. Left: a flow that rests before its first request, which is not among the idle ones, and one whose balancer is stopped, since no other knows its opener.

--- a/internal/tokenroute/flowcache.go
+++ b/internal/tokenroute/flowcache.go
@@ -136,10 +136,12 @@
 	idleTimeout time.Duration
 }
 
-// idleFlow is what is remembered of an idle flow: its numbers, the latest acknowledgement of its
-// client, when its first request passed, and when its latest packet passed.
+// idleFlow is what is remembered of an idle flow: its numbers, the back end that opened it if its
+// first packet passed here, the latest acknowledgement of its client, when its first request passed,
+// and when its latest packet passed.
 type idleFlow struct {
 	numbers                  flow.Numbers
+	openedBy                 *Backend
 	lastAck                  uint32
 	firstRequestAt, passedAt time.Time
 }
@@ -269,7 +271,7 @@
 		c.idle[id] = make(map[flow.Key]idleFlow)
 	}
 	c.idleBackends[key] = id
-	c.idle[id][key] = idleFlow{numbers: state.numbers, lastAck: state.tracker.lastAck,
+	c.idle[id][key] = idleFlow{numbers: state.numbers, openedBy: state.opening.openedBy, lastAck: state.tracker.lastAck,
 		firstRequestAt: state.firstRequestAt, passedAt: state.tracker.passedAt}
 }
 
@@ -293,7 +295,7 @@
 	state := c.add(packet.Key)
 	state.numbers = idle.numbers
 	state.numbers.Add(packet.segment())
-	state.firstRequestAt = idle.firstRequestAt
+	state.firstRequestAt, state.opening.openedBy = idle.firstRequestAt, idle.openedBy
 	return state
 }
 
--- a/internal/tokenroute/reusedports_test.go
+++ b/internal/tokenroute/reusedports_test.go
@@ -250,3 +250,19 @@
 	return NewTable(newDirectory(named, inZone(backend(2, 1, "lending"), "maadi"), inZone(backend(2, 2, "lending"), "maadi"),
 		inZone(backend(2, 3, "lending"), "maadi")), defaultOptions())
 }
+
+// The client of a flow that two back ends have answered may send the token of the other one with its
+// first request after a rest.
+func TestFlowAnsweredByTwoBackendsStaysWithOpenerAfterRest(t *testing.T) {
+	table, flows := threeIdlingBackends(), NewFlows(mechanism.Set{}).WithZone("maadi")
+	use, _ := twoUses(false)
+	tried := use.openThrough(flows, table, 2)
+	flows.Decide(table, use.request(tried[0].Token), at(700))
+	flows.Decide(table, use.answered(tried[0].Token), at(720))
+	for now := 800; now < 14_000; now += 100 {
+		exchange(flows, table, 50, 3, now)
+	}
+	require.Nil(t, flows.flowCache.find(key(use.port)))
+	kept := flows.Decide(table, use.request(tried[1].Token), at(14_000))
+	require.Equal(t, Decision{Verdict: Forward, Reason: ReasonOpenedElsewhere, Backend: tried[0]}, kept)
+}
