Token routing: tests of request tracking and load with ports that are used again

TestRequestsOfReusedPortAreNoRetransmissions holds both ways: a retransmission needs the same sequence number and the same acknowledgement, and a flow with both is the same flow.

--- a/internal/tokenroute/reusedports_test.go
+++ b/internal/tokenroute/reusedports_test.go
@@ -266,3 +266,63 @@
 	kept := flows.Decide(table, use.request(tried[1].Token), at(14_000))
 	require.Equal(t, Decision{Verdict: Forward, Reason: ReasonOpenedElsewhere, Backend: tried[0]}, kept)
 }
+
+// What the next flow of a port sends says nothing of the request of the one before: neither that it
+// was answered, nor that the back end of either flow lives.
+func TestLaterFlowOfPortIsNoAnswerToEarlierRequest(t *testing.T) {
+	for _, sameBackend := range []bool{false, true} {
+		table, flows := threeIdlingBackends(), NewFlows(mechanism.Set{}).WithZone("maadi")
+		earlier, later := twoUses(true)
+		dead := table.tokens.backends(earlierToken)[0]
+		sendUnanswered(flows, table, earlierToken, []byte{1, 2}, 0, 650)
+		require.True(t, flows.failureDetector.Failed(dead, at(651)))
+		token := Token(1)
+		if sameBackend {
+			token = earlierToken
+		}
+		flows.Decide(table, earlier.request(token), at(700))
+		responses := flows.loadFor(dead).poolDemand.responses
+		flows.Decide(table, later.request(earlierToken), at(1000))
+		require.True(t, flows.failureDetector.Failed(dead, at(1000)), "a verdict on a dead back end stays, same back end: %t", sameBackend)
+		require.Equal(t, responses, flows.loadFor(dead).poolDemand.responses, "no response is counted")
+		require.Empty(t, flows.loadFor(dead).responses)
+	}
+}
+
+// A request that the next flow of a port sends at once is no retransmission, however often ports are
+// used again: no living back end is found dead.
+func TestRequestsOfReusedPortAreNoRetransmissions(t *testing.T) {
+	table, flows := threeIdlingBackends(), NewFlows(mechanism.Set{}).WithZone("maadi")
+	for now := 0; now < 10_000; now += 200 {
+		for port := range 4 {
+			use := portUse{port: port, synSequence: uint32(now) * 250, backendSequence: uint32(now) * 1_000_000}
+			packet := use.request(earlierToken) // answered and ended elsewhere
+			require.Equal(t, Forward, flows.Decide(table, packet, at(now)).Verdict)
+		}
+		exchange(flows, table, 50, 3, now)
+	}
+	require.Zero(t, flows.BackendFailures())
+}
+
+// A flow whose end passed elsewhere no longer counts at its back end once its port is used again.
+func TestReusedPortCountsOnce(t *testing.T) {
+	for _, seen := range []string{"SYN", "request"} {
+		table, flows := threeIdlingBackends(), NewFlows(mechanism.Set{}).WithZone("maadi")
+		living := table.tokens.backends(3)[0]
+		for round := range 20 {
+			use := portUse{port: 1, synSequence: uint32(round) * 75_000, backendSequence: uint32(round) * 1_000_000_000}
+			backend := living
+			if seen == "SYN" {
+				backend = flows.Decide(table, use.syn(0), at(round*10)).Backend
+			}
+			flows.Decide(table, use.request(backend.Token), at(round*10+1))
+		}
+		total, inFlight := 0, 0
+		for _, load := range flows.loads {
+			total, inFlight = total+load.flows, inFlight+load.inFlightRequests
+		}
+		require.Equal(t, 1, total, seen)
+		require.Equal(t, 1, inFlight, seen)
+		require.Zero(t, flows.demands[lendingPoolZone("maadi")].responses, seen)
+	}
+}
