Admission: each flow of a port is admitted or refused by itself

What callers could see: while a pool is short of capacity, the flows to be refused are picked by a hash of addresses and ports. A client that uses the port of a refused flow again was refused each time, for as long as the fraction stayed, while the others were all served.

The hash now takes in the sequence number of the SYN. Copies of a SYN are never refused, so balancers need not agree on more than they did. Which back end a port's new flows are ranked for still follows the key alone.

TestRefusedPortIsAdmittedLater fails without it: each port was admitted in all of 100 uses or in none.

--- a/internal/tokenroute/refusal.go
+++ b/internal/tokenroute/refusal.go
@@ -19,18 +19,24 @@
 	if refusals == nil || packet.Retransmission {
 		return nil
 	}
-	key := packet.Key
-	chosen := route.poolFor(key.Hash())
+	chosen := route.poolFor(packet.Key.Hash())
 	if chosen == nil {
 		return nil
 	}
-	refusal := refusals.Match(chosen.name, route.priority, key.Hash())
+	refusal := refusals.Match(chosen.name, route.priority, packet.admissionHash())
 	if refusal == nil {
 		return nil
 	}
-	state := f.flowCache.find(key)
+	state := f.flowCache.find(packet.Key)
 	if state != nil && state.numbers.Contains(packet.segment()) && (state.opening.count > 0 || state.tracker.backend != nil) {
 		return nil
 	}
 	return refusal
 }
+
+// sequenceMultiplier spreads sequence numbers over the hash (2^64 divided by the golden ratio).
+const sequenceMultiplier = 0x9e3779b97f4a7c15
+
+// admissionHash returns the hash that decides whether the flow is refused. It differs between the
+// flows of a port, so that a client whose flow was refused may be admitted when it tries again.
+func (p Packet) admissionHash() uint64 { return p.Key.Hash() + uint64(p.Sequence)*sequenceMultiplier }
--- a/internal/tokenroute/refusal_test.go
+++ b/internal/tokenroute/refusal_test.go
@@ -75,3 +75,36 @@
 	copied.Retransmission = true
 	require.Equal(t, Forward, elsewhere.Decide(table, copied, at(700)).Verdict, "another balancer may have forwarded the first packet")
 }
+
+// A client that uses the port of a refused flow again is not refused for that: each flow of the port
+// is admitted with the same probability.
+func TestRefusedPortIsAdmittedLater(t *testing.T) {
+	flows, table := NewFlows(mechanism.Set{}), twoPriorityTable()
+	flows.SetRefusals(fractionRefusals(t))
+	for port := range 20 {
+		admitted := 0
+		for use := range uint32(100) {
+			packet := firstPacketTo(port, 2)
+			packet.Sequence = use * 75_000
+			if flows.Decide(table, packet, at(int(use)*300)).Verdict == Forward {
+				admitted++
+			}
+		}
+		require.InDelta(t, 50, admitted, 30, "port %d", port)
+	}
+}
+
+// fractionRefusals returns refusals of about half of the low-priority flows.
+func fractionRefusals(t *testing.T) *admission.Refusals {
+	controller := admission.NewController()
+	for step := range 100 {
+		now := at(100 * step)
+		refusals := controller.Update([]admission.PoolState{{Pool: "lending", Priorities: []admission.Priority{1, 2},
+			Pressure: admission.Pressure{RequestsPerSlot: 4, SeenAt: now}}}, now)
+		if all := refusals.All(); len(all) == 1 && all[0].Fraction > 0.4 && all[0].Fraction < 0.6 {
+			return refusals
+		}
+	}
+	require.Fail(t, "no part of the flows is refused")
+	return nil
+}
