Flow trace: flows that used one port after the other are told apart

The trace of a request held all lines of its addresses and ports, also those of flows before and after it. Lines now carry the numbers of their packets, those of resets the latest of the client, and the trace groups them with flow.Numbers. A flow's name or a client still selects all of them.

TestFindSeparatesFlowsOfOnePort fails without it.

--- a/internal/balancer/traffic.go
+++ b/internal/balancer/traffic.go
@@ -256,7 +256,7 @@
 
 // reset notifies the client of a flow that its back end no longer holds the flow.
 func (t *traffic) reset(abandoned tokenroute.AbandonedFlow, table *tokenroute.Table, now time.Time) {
-	packet := tokenroute.Packet{Key: abandoned.Key, Acknowledged: abandoned.Acknowledged}
+	packet := tokenroute.Packet{Key: abandoned.Key, Sequence: abandoned.Sequence, Acknowledged: abandoned.Acknowledged}
 	decision := tokenroute.Decision{
 		Verdict: tokenroute.Refuse,
 		Reason:  abandoned.Reason,
--- a/internal/flow/numbers.go
+++ b/internal/flow/numbers.go
@@ -82,6 +82,9 @@
 // Ended reports whether the end of the flow was seen.
 func (n *Numbers) Ended() bool { return n.hasEnd }
 
+// Next returns the sequence number after the latest data of the client, or 0 if that is not known.
+func (n *Numbers) Next() uint32 { return n.sequence }
+
 // after reports whether one sequence number follows another in the circular number space.
 func after(number, other uint32) bool { return int32(number-other) > 0 }
 
--- a/internal/flowtrace/flowtrace.go
+++ b/internal/flowtrace/flowtrace.go
@@ -14,11 +14,14 @@
 	"fmt"
 	"io"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logfmt/logfmt"
+
+	"github.com/indigobarrow/indigobarrow/internal/flow"
 )
 
 // Line is one line of a log.
@@ -29,6 +32,10 @@
 	Flow    string
 	Request string
 	Backend string
+	// Numbers are those of the packet, if HasNumbers is set. A line with a sequence number but
+	// without an acknowledgement is about a SYN.
+	Numbers    flow.Segment
+	HasNumbers bool
 	// Text is the line as it was written, without anything before its time field.
 	Text string
 }
@@ -68,6 +75,11 @@
 	return line, decoder.Err() == nil && !line.At.IsZero()
 }
 
+func parseNumber(text string) uint32 {
+	number, _ := strconv.ParseUint(text, 10, 32)
+	return uint32(number)
+}
+
 func (line *Line) set(key, value string) {
 	switch key {
 	case "time":
@@ -82,6 +94,10 @@
 		line.Request = value
 	case "backend":
 		line.Backend = value
+	case "sequence":
+		line.Numbers.Sequence, line.Numbers.SYN, line.HasNumbers = parseNumber(value), true, true
+	case "acknowledged":
+		line.Numbers.Acknowledged, line.Numbers.SYN = parseNumber(value), false
 	}
 }
 
@@ -96,18 +112,17 @@
 }
 
 // Find returns the lines about a request ID, a flow or a client, sorted by time: those of all
-// its flows, and those without a flow that the same balancers wrote around that time.
+// its flows, and those without a flow that the same balancers wrote around that time. Of the flows
+// that used the same addresses and ports one after the other, a request ID selects the one that
+// carried it.
 func Find(lines []Line, query string) []Line {
-	flows := make(map[string]bool)
-	for _, line := range lines {
-		if line.Flow != "" && (line.Request == query || line.Flow == query || line.client() == query) {
-			flows[line.Flow] = true
-		}
-	}
 	var found []Line
 	nodes := make(map[string]bool)
-	for _, line := range lines {
-		if flows[line.Flow] {
+	for _, traced := range splitFlows(lines) {
+		if !traced.matches(query) {
+			continue
+		}
+		for _, line := range traced.lines {
 			found = append(found, line)
 			nodes[line.Node] = true
 		}
--- a/internal/flowtrace/flowtrace_test.go
+++ b/internal/flowtrace/flowtrace_test.go
@@ -49,3 +49,25 @@
 	require.Equal(t, 2, strings.Count(output.String(), "no_room"))
 	require.NotContains(t, output.String(), "request=abc")
 }
+
+// Two flows that used the same addresses and ports one after the other have one name in the log. A
+// request selects the lines of its own flow, also where they are mixed up.
+func TestFindSeparatesFlowsOfOnePort(t *testing.T) {
+	lines, err := Read(strings.NewReader(`time=2026-06-07T12:04:01.000Z msg="Traffic: flow sent to a back end." node=edge-a flow=1.1.1.1:1-2.2.2.2:443 backend=i-1 sequence=4294967290
+time=2026-06-07T12:04:01.100Z msg="Traffic: request passes." node=edge-a flow=1.1.1.1:1-2.2.2.2:443 request=one backend=i-1 sequence=4294967291 acknowledged=900
+time=2026-06-07T12:04:01.400Z msg="Traffic: flow sent to a back end." node=edge-b flow=1.1.1.1:1-2.2.2.2:443 backend=i-2 sequence=75000
+time=2026-06-07T12:04:01.500Z msg="Traffic: request passes." node=edge-a flow=1.1.1.1:1-2.2.2.2:443 request=two backend=i-2 sequence=75001 acknowledged=3000000000
+time=2026-06-07T12:04:01.550Z msg="Traffic: flow refused." node=edge-a flow=1.1.1.1:1-2.2.2.2:443 reason=dead_backend backend=i-1 sequence=20 acknowledged=1900
+time=2026-06-07T12:04:01.600Z msg="Traffic: flow refused." node=edge-a flow=1.1.1.1:1-2.2.2.2:443 reason=dead_backend backend=i-2 sequence=75101 acknowledged=3000001000
+`))
+	require.NoError(t, err)
+	backends := func(query string) (all []string) {
+		for _, line := range Find(lines, query) {
+			all = append(all, line.Backend)
+		}
+		return all
+	}
+	require.Equal(t, []string{"i-1", "i-1", "i-1"}, backends("one"))
+	require.Equal(t, []string{"i-2", "i-2", "i-2"}, backends("two"))
+	require.Len(t, backends("1.1.1.1:1-2.2.2.2:443"), 6)
+}
--- a/internal/tokenroute/failuredetector.go
+++ b/internal/tokenroute/failuredetector.go
@@ -245,12 +245,14 @@
 			if tracked.backend == nil || tracked.backend.Incarnation() != backend.Incarnation() || state.numbers.Ended() {
 				continue
 			}
-			d.abandoned = append(d.abandoned, AbandonedFlow{Key: key, Backend: backend, Reason: ReasonDeadBackend, Acknowledged: tracked.lastAck})
+			d.abandoned = append(d.abandoned, AbandonedFlow{Key: key, Backend: backend, Reason: ReasonDeadBackend,
+				Sequence: state.numbers.Next(), Acknowledged: tracked.lastAck})
 			d.flowCache.remove(key, state, now)
 		}
 	}
 	for _, idle := range d.flowCache.takeIdle(backend.Incarnation()) {
-		d.abandoned = append(d.abandoned, AbandonedFlow{Key: idle.key, Backend: backend, Reason: ReasonDeadBackend, Acknowledged: idle.lastAck})
+		d.abandoned = append(d.abandoned, AbandonedFlow{Key: idle.key, Backend: backend, Reason: ReasonDeadBackend,
+			Sequence: idle.numbers.Next(), Acknowledged: idle.lastAck})
 	}
 }
 
--- a/internal/tokenroute/flowcache.go
+++ b/internal/tokenroute/flowcache.go
@@ -148,8 +148,8 @@
 
 // idleFlowKey identifies an idle flow that is to be reset.
 type idleFlowKey struct {
-	key     flow.Key
-	lastAck uint32
+	key flow.Key
+	idleFlow
 }
 
 func newFlowCache() *flowCache {
@@ -317,7 +317,7 @@
 	flows := c.idle[backend]
 	keys := make([]idleFlowKey, 0, len(flows))
 	for key, each := range flows {
-		keys = append(keys, idleFlowKey{key: key, lastAck: each.lastAck})
+		keys = append(keys, idleFlowKey{key: key, idleFlow: each})
 		c.removeIdle(key)
 	}
 	return keys
--- a/internal/tokenroute/restart.go
+++ b/internal/tokenroute/restart.go
@@ -34,15 +34,15 @@
 	predatesStart := func(firstRequestAt time.Time) bool {
 		return !firstRequestAt.IsZero() && backend.Start.PrecededBy(now.Sub(firstRequestAt), now)
 	}
-	abandon := func(key flow.Key, acknowledged uint32) {
+	abandon := func(key flow.Key, numbers flow.Numbers, acknowledged uint32) {
 		f.failureDetector.abandoned = append(f.failureDetector.abandoned,
-			AbandonedFlow{Key: key, Backend: backend, Reason: ReasonRestarted, Acknowledged: acknowledged})
+			AbandonedFlow{Key: key, Backend: backend, Reason: ReasonRestarted, Sequence: numbers.Next(), Acknowledged: acknowledged})
 	}
 	for _, generation := range []map[flow.Key]*flowState{f.flowCache.current, f.flowCache.previous} {
 		for key, state := range generation {
 			tracked := &state.tracker
 			if tracked.backend != nil && !state.numbers.Ended() && isEarlierStart(tracked.backend.Incarnation()) && predatesStart(state.firstRequestAt) {
-				abandon(key, tracked.lastAck)
+				abandon(key, state.numbers, tracked.lastAck)
 				f.flowCache.remove(key, state, now)
 			}
 		}
@@ -53,7 +53,7 @@
 		}
 		for key, each := range flows {
 			if predatesStart(each.firstRequestAt) {
-				abandon(key, each.lastAck)
+				abandon(key, each.numbers, each.lastAck)
 				f.flowCache.removeIdle(key)
 			}
 		}
--- a/internal/tokenroute/tracker.go
+++ b/internal/tokenroute/tracker.go
@@ -50,6 +50,6 @@
 	Backend *Backend
 	// Reason is ReasonDeadBackend or ReasonRestarted.
 	Reason Reason
-	// Acknowledged is the client's latest acknowledgement.
-	Acknowledged uint32
+	// Sequence and Acknowledged are the client's latest numbers.
+	Sequence, Acknowledged uint32
 }
