Token routing: the first later packet names the opener also if another balancer had the SYN

What callers could see: a SYN goes through one balancer to a back end that answers late, its copy through another one to a second back end. The client opens the flow at the first, and its packets come to the second balancer, which took none of them for an opening, since it had not tried that back end itself. The late answer changes the token, and the next request went to the back end that does not hold the flow. Likewise a copy of a SYN that passes after data of its flow was sent to another back end, whose answer changes the token.

The opener is now that of the first later packet, if the SYN or a copy of it has passed here. A SYN whose number lies just before those of the packets that have passed is a copy, and goes where they went. Which back ends have answered is counted as before.

Found by TestOpenFlowsKeepTheirBackendAndNewOnesFollowTheRoute: three balancers, two ports, SYNs, copies, data, ends, gaps, late packets of the former flow and drains in any order, with random and clock-drawn numbers.

--- a/internal/flow/numbers.go
+++ b/internal/flow/numbers.go
@@ -18,9 +18,11 @@
 // addresses and ports before or after it. A node may miss the SYN, the end and any other packet of
 // a flow. The zero value is that of a flow of which no packet was seen.
 //
-// A SYN belongs to the flow only if it is a copy of the flow's SYN. Any other packet belongs to it
+// A SYN belongs to the flow if it is a copy of the flow's SYN. If that was not seen, its number must
+// lie before all others within MaxDistance. Any other packet belongs to it
 // if both its sequence number and its acknowledgement are within MaxDistance of those before, and
-// it does not lie beyond the end of the flow. Two flows are taken for one if both numbers of one
+// it does not lie beyond the end of the flow; after the SYN alone, if its sequence number follows that
+// of the SYN within MaxDistance. Two flows are taken for one if both numbers of one
 // are that close to those of the other, and a flow is taken for two if its numbers move further
 // while its packets pass elsewhere. The initial numbers of the two ends are independent, so that
 // clients that derive theirs from a clock (RFC 9293, section 3.4.1) are told apart by those of the
@@ -29,10 +31,10 @@
 	// syn is the sequence number of the SYN, if hasSYN is set.
 	syn    uint32
 	hasSYN bool
-	// sequence is the highest number after the data of a packet, and acknowledged the highest
-	// acknowledgement, if hasData is set.
-	sequence, acknowledged uint32
-	hasData                bool
+	// first is the lowest sequence number of a packet, sequence the highest one after the data of a
+	// packet, and acknowledged the highest acknowledgement, if hasData is set.
+	first, sequence, acknowledged uint32
+	hasData                       bool
 	// end is the number after the end of the flow, if hasEnd is set.
 	end    uint32
 	hasEnd bool
@@ -44,14 +46,16 @@
 	switch {
 	case n.IsZero():
 		return true
+	case segment.SYN && n.hasSYN:
+		return segment.Sequence == n.syn
 	case segment.SYN:
-		return n.hasSYN && segment.Sequence == n.syn
+		return n.first-segment.Sequence-1 < MaxDistance
 	case n.hasEnd && after(segment.Sequence, n.end):
 		return false
 	case n.hasData:
 		return near(segment.Sequence, n.sequence) && near(segment.Acknowledged, n.acknowledged)
 	}
-	return near(segment.Sequence, n.syn)
+	return segment.Sequence-n.syn <= MaxDistance
 }
 
 // Add adds a packet that belongs to the flow.
@@ -65,9 +69,12 @@
 		n.end, n.hasEnd = next+1, true
 	}
 	if !n.hasData {
-		n.sequence, n.acknowledged, n.hasData = next, segment.Acknowledged, true
+		n.first, n.sequence, n.acknowledged, n.hasData = segment.Sequence, next, segment.Acknowledged, true
 		return
 	}
+	if after(n.first, segment.Sequence) {
+		n.first = segment.Sequence
+	}
 	if after(next, n.sequence) {
 		n.sequence = next
 	}
--- a/internal/tokenroute/flowcache.go
+++ b/internal/tokenroute/flowcache.go
@@ -219,10 +219,11 @@
 }
 
 // opensFormer reports whether a first packet is a copy of the one that opened the flow before the
-// cached one with the same key.
+// cached one with the same key, whose own first packet has passed.
 func (c *flowCache) opensFormer(packet Packet) bool {
 	state, segment := c.find(packet.Key), packet.segment()
-	return state != nil && !state.numbers.Contains(segment) && !state.former.IsZero() && state.former.Contains(segment)
+	return state != nil && state.opening.count > 0 && !state.numbers.Contains(segment) &&
+		!state.former.IsZero() && state.former.Contains(segment)
 }
 
 // replace returns a new state for a flow that came after the cached one with the same key.
--- a/internal/tokenroute/flows.go
+++ b/internal/tokenroute/flows.go
@@ -107,6 +107,11 @@
 	f.collectOverdue(now)
 	state := f.flowCache.matchFirst(packet, now)
 	o := &state.opening
+	if o.openedBy == nil && o.count == 0 {
+		// If packets with data have passed, another balancer has sent the first one to the back end that
+		// opened the flow.
+		o.openedBy = state.tracker.backend
+	}
 	if o.openedBy != nil {
 		return o.openedBy
 	}
@@ -198,18 +203,18 @@
 }
 
 // backendFor returns the back end for a later packet of a flow whose token names tokenBackend. The
-// state is nil if no earlier packet passed here.
+// state is nil if no earlier packet passed here. If the flow's first packet passed here, the first
+// later one names the back end that opened the flow, which may have got the first packet from another
+// balancer.
 func (f *Flows) backendFor(state *flowState, tokenBackend *Backend, now time.Time) *Backend {
 	if state == nil {
 		return tokenBackend
 	}
 	o := &state.opening
-	if o.openedBy == nil && o.wasTried(tokenBackend) {
+	if o.openedBy == nil && o.count > 0 {
 		o.openedBy = tokenBackend
-		f.countOpened(now.Sub(o.sentAt))
-		delete(f.backoffs, tokenBackend.Incarnation())
-		if o.last().Number == tokenBackend.Number {
-			f.zoneMonitor.recordResponse(tokenBackend, o.sentAt)
+		if o.wasTried(tokenBackend) {
+			f.recordOpened(o, now)
 		}
 	}
 	if o.openedBy == nil || o.openedBy.Number == tokenBackend.Number {
@@ -219,6 +224,15 @@
 	return o.openedBy
 }
 
+// recordOpened records that a flow was opened by a back end that was tried here.
+func (f *Flows) recordOpened(o *flowOpening, now time.Time) {
+	f.countOpened(now.Sub(o.sentAt))
+	delete(f.backoffs, o.openedBy.Incarnation())
+	if o.last().Number == o.openedBy.Number {
+		f.zoneMonitor.recordResponse(o.openedBy, o.sentAt)
+	}
+}
+
 // countOpened counts a flow by the time that it took to open. A flow that took longer than
 // ResponseTimeout is counted as unanswered instead.
 func (f *Flows) countOpened(took time.Duration) {
@@ -238,7 +252,7 @@
 }
 
 func (f *Flows) recordOverdue(pending pendingOpening, now time.Time) {
-	if pending.opening.openedBy != nil {
+	if opener := pending.opening.openedBy; opener != nil && pending.opening.wasTried(opener) {
 		return
 	}
 	f.Unanswered.Add(1)
--- a/internal/tokenroute/reusedports_test.go
+++ b/internal/tokenroute/reusedports_test.go
@@ -326,3 +326,30 @@
 		require.Zero(t, flows.demands[lendingPoolZone("maadi")].responses, seen)
 	}
 }
+
+// The first packet of a flow, or a copy of it, that passes after data of the flow goes where the data
+// went. The answer of another back end would change the token of the open flow.
+func TestFirstPacketAfterDataGoesToOpener(t *testing.T) {
+	table, flows := manyBackends(5), NewFlows(mechanism.Set{})
+	use, _ := twoUses(false)
+	elsewhere := NewFlows(mechanism.Set{}).Decide(table, use.syn(0), at(0)).Backend
+	opener := otherThan(table, elsewhere) // the choice of a balancer that knows other loads
+	flows.Decide(table, use.request(opener.Token), at(210))
+	for copies := range 2 {
+		require.Equal(t, opener, flows.Decide(table, use.syn(copies), at(220)).Backend)
+	}
+	require.Equal(t, opener, flows.Decide(table, use.request(elsewhere.Token), at(230)).Backend)
+}
+
+// A flow may have been opened by a back end that got its first packet from another balancer.
+func TestOpenerThatAnotherBalancerTriedIsKept(t *testing.T) {
+	table, flows := manyBackends(5), NewFlows(mechanism.Set{})
+	use, _ := twoUses(false)
+	second := flows.Decide(table, use.syn(1), at(200)).Backend
+	opener := otherThan(table, second)
+	flows.Decide(table, use.acknowledgement(opener.Token), at(210))
+	kept := flows.Decide(table, use.request(second.Token), at(220))
+	require.Equal(t, Decision{Verdict: Forward, Reason: ReasonOpenedElsewhere, Backend: opener}, kept)
+	flows.Decide(table, firstPacket(2), at(400))
+	require.Equal(t, uint64(1), flows.Unanswered.Load(), "the back end tried here opened nothing")
+}
