Soak: clients use their ports again, and stops, kills and changes overlap

It now draws ports from a small block for each address, uses a port again 0 to 6 s after the end of its flow, one in four at once, and draws first numbers at random or, for even ports, from a clock of 4 us. Either end closes first. Back ends and clients tell flows of one port apart by their numbers, and answer the end of a flow, so that an acknowledgement follows the client's FIN. The history identifies flows by port and first number.

TestSoakOfReusedPorts: 60 callers with short flows, 12 that keep theirs until the back end is gone and the 24 of the other soaks; series of planned stops, kills, crashes, drains and moves of a route overlap, up to three of six balancers down.

--- a/internal/standin/echonet/backend.go
+++ b/internal/standin/echonet/backend.go
@@ -20,6 +20,22 @@
 	port   uint16
 }
 
+// backendFlow is a back end's end of a flow.
+type backendFlow struct {
+	// syn is the client's initial sequence number, and initial the back end's own.
+	syn, initial uint32
+	// latest is the client's latest sequence number.
+	latest uint32
+}
+
+// maxAdvance is how far the packets of a flow are from each other at most.
+const maxAdvance = 4096
+
+// holds reports whether a packet belongs to the flow, and not to another one of the same port.
+func (flow *backendFlow) holds(packet Packet) bool {
+	return flow != nil && (packet.Seq-flow.latest <= maxAdvance || flow.latest-packet.Seq <= maxAdvance)
+}
+
 // Backend is one run of a simulated back end. It answers each request with its own ID
 // and the request's body. It is safe for concurrent use.
 type Backend struct {
@@ -32,10 +48,9 @@
 	checksumKey uint64
 	socket      *net.UDPConn
 	// unreachable is set while the back end receives nothing.
-	unreachable atomic.Bool
-	mutex       sync.Mutex
-	// flows holds the back end's initial sequence number of each open flow.
-	flows        map[flowKey]uint32
+	unreachable  atomic.Bool
+	mutex        sync.Mutex
+	flows        map[flowKey]*backendFlow
 	requestState requestState
 	// opened counts the flows that were opened, misrouted the packets for other
 	// back ends, unknownFlow the packets of flows that are not open here, and
@@ -50,7 +65,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "back end %s: listen on %s", id, address)
 	}
-	backend := &Backend{ID: id, Pool: pool, clientPort: clientPort, checksumKey: checksumKey, socket: socket, flows: make(map[flowKey]uint32),
+	backend := &Backend{ID: id, Pool: pool, clientPort: clientPort, checksumKey: checksumKey, socket: socket, flows: make(map[flowKey]*backendFlow),
 		requestState: newRequestState()}
 	if _, err := fmt.Sscanf(id, "i-%x", &backend.numericID); err != nil {
 		return nil, errors.Wrapf(err, "back end %s", id)
@@ -129,27 +144,45 @@
 		return
 	}
 	key := flowKey{source: packet.Source, port: packet.SourcePort}
-	seq, known := backend.flows[key]
+	flow := backend.flows[key]
 	switch {
 	case packet.Flags&FlagSYN != 0:
-		if !known {
-			backend.opened++
-			seq = rand.Uint32()
-			backend.flows[key] = seq
-			backend.requestState.openedPorts[packet.SourcePort] = true
-		}
-		backend.send(packet.reply(FlagSYN|FlagACK, seq, packet.Seq+1, nil))
-	case !known:
+		backend.handleSYN(key, packet)
+		return
+	case !flow.holds(packet):
 		backend.unknownFlow++
 		backend.send(packet.reply(FlagRST, packet.Ack, 0, nil))
+		return
+	}
+	flow.latest = packet.Seq
+	switch {
 	case packet.Flags&FlagFIN != 0:
-		delete(backend.flows, key)
-		delete(backend.requestState.latest, key)
+		backend.send(packet.reply(FlagFIN|FlagACK, packet.Ack, packet.Seq+1, nil))
+		backend.forget(key)
 	case len(packet.Data) > 0:
 		backend.handleRequest(key, packet)
 	}
 }
 
+// handleSYN answers a SYN. One with another number opens another flow from the same port.
+func (backend *Backend) handleSYN(key flowKey, packet Packet) {
+	flow := backend.flows[key]
+	if flow == nil || flow.syn != packet.Seq {
+		backend.forget(key)
+		backend.opened++
+		flow = &backendFlow{syn: packet.Seq, initial: rand.Uint32(), latest: packet.Seq}
+		backend.flows[key] = flow
+		backend.requestState.opened[FlowID{Port: packet.SourcePort, Sequence: packet.Seq}] = true
+	}
+	backend.send(packet.reply(FlagSYN|FlagACK, flow.initial, packet.Seq+1, nil))
+}
+
+// forget ends a flow.
+func (backend *Backend) forget(key flowKey) {
+	delete(backend.flows, key)
+	delete(backend.requestState.latest, key)
+}
+
 func (backend *Backend) send(packet Packet) {
 	client := netip.AddrPortFrom(netip.AddrFrom4(packet.Destination), backend.clientPort)
 	_, _ = backend.socket.WriteToUDPAddrPort(packet.Encode(backend.checksumKey), client)
--- a/internal/standin/echonet/client.go
+++ b/internal/standin/echonet/client.go
@@ -1,12 +1,12 @@
 package echonet
 
 import (
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,8 +30,9 @@
 	router      *Router
 	socket      *net.UDPConn
 	mutex       sync.Mutex
-	flows       map[uint16]chan Packet
-	nextPort    uint16
+	flows       map[uint16]*Flow
+	ports       portBlock
+	startedAt   time.Time
 }
 
 // StartClient starts a client at an address. Packets carry a checksum under checksumKey.
@@ -40,7 +41,8 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "client: listen on %s", address)
 	}
-	client := &Client{address: address, checksumKey: checksumKey, router: router, socket: socket, flows: make(map[uint16]chan Packet), nextPort: 40000}
+	client := &Client{address: address, checksumKey: checksumKey, router: router, socket: socket,
+		flows: make(map[uint16]*Flow), ports: portBlock{next: firstPort}, startedAt: time.Now()}
 	go client.receiveLoop()
 	return client, nil
 }
@@ -62,11 +64,10 @@
 			continue
 		}
 		client.mutex.Lock()
-		inbox := client.flows[packet.DestinationPort]
+		flow := client.flows[packet.DestinationPort]
 		client.mutex.Unlock()
-		select {
-		case inbox <- packet:
-		default:
+		if flow != nil {
+			flow.receive(packet)
 		}
 	}
 }
@@ -75,11 +76,17 @@
 type Flow struct {
 	client *Client
 	inbox  chan Packet
+	// opened is set once the flow is open, and ended once one of its ends has closed it.
+	opened, ended atomic.Bool
+	// sequence and acknowledged are the numbers of the latest packet.
+	sequence, acknowledged atomic.Uint32
+	// reset is set once the flow was reset.
+	reset bool
 	// lastReceived is the last response, with the token of the newest packet.
 	lastReceived Packet
 	seq          uint32
 	target       netip.AddrPort
-	port         uint16
+	id           FlowID
 	// balancers holds the balancers used since the last call of TakeBalancers.
 	balancers []netip.AddrPort
 }
@@ -98,20 +105,17 @@
 // Open opens a flow to a route's address. With an error it also returns the flow that it
 // tried to open.
 func (client *Client) Open(target netip.AddrPort) (*Flow, error) {
-	client.mutex.Lock()
-	client.nextPort++
-	flow := &Flow{client: client, inbox: make(chan Packet, 16), target: target, port: client.nextPort, seq: rand.Uint32()}
-	client.flows[flow.port] = flow.inbox
-	client.mutex.Unlock()
+	flow := client.newFlow(target)
 	for retransmissions, pause := range openRetryIntervals {
 		flow.send(FlagSYN, uint32(retransmissions), nil)
-		response, err := flow.await(pause, func(packet Packet) bool { return packet.Flags&FlagSYN != 0 })
+		response, err := flow.await(pause, func(packet Packet) bool { return packet.Flags&FlagSYN != 0 && packet.Ack == flow.seq+1 })
 		if errors.Is(err, ErrBroken) {
 			return flow, ErrRefused
 		}
 		if err == nil {
 			flow.lastReceived = response
 			flow.seq++
+			flow.opened.Store(true)
 			flow.send(FlagACK, response.nextSeq(), nil)
 			return flow, nil
 		}
@@ -119,8 +123,23 @@
 	return flow, ErrDeadline
 }
 
+// newFlow returns a flow from a port that no other one uses.
+func (client *Client) newFlow(target netip.AddrPort) *Flow {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	flow := &Flow{client: client, inbox: make(chan Packet, 16), target: target}
+	flow.id.Port = client.ports.take(target, time.Now())
+	flow.id.Sequence = client.initialSequence(flow.id.Port)
+	flow.seq = flow.id.Sequence
+	client.flows[flow.id.Port] = flow
+	return flow
+}
+
 // Port returns the client's port.
-func (flow *Flow) Port() uint16 { return flow.port }
+func (flow *Flow) Port() uint16 { return flow.id.Port }
+
+// ID returns what identifies the flow among those of its client.
+func (flow *Flow) ID() FlowID { return flow.id }
 
 // TakeBalancers returns the balancers to which packets were sent since its last call.
 func (flow *Flow) TakeBalancers() []netip.AddrPort {
@@ -158,6 +177,7 @@
 func (flow *Flow) completeRequest(response Packet, body string) (string, error) {
 	flow.lastReceived = response
 	flow.seq += uint32(len(body))
+	flow.ended.Store(response.Flags&FlagFIN != 0)
 	flow.send(FlagACK, response.nextSeq(), nil)
 	server, _, _ := strings.Cut(string(response.Data), " ")
 	if server, shed := strings.CutPrefix(server, shedPrefix); shed {
@@ -174,8 +194,18 @@
 	return errors.Is(err, ErrBroken)
 }
 
-// Close sends a packet that ends the flow.
-func (flow *Flow) Close() { flow.send(FlagFIN|FlagACK, flow.lastReceived.nextSeq(), nil) }
+// Close sends a packet that ends the flow, unless it was reset or not opened. The port may be used
+// again from then on.
+func (flow *Flow) Close() {
+	if flow.opened.Load() && !flow.reset {
+		flow.send(FlagFIN|FlagACK, flow.lastReceived.nextSeq(), nil)
+		flow.sequence.Store(flow.seq + 1)
+	}
+	flow.ended.Store(true)
+	flow.client.mutex.Lock()
+	defer flow.client.mutex.Unlock()
+	flow.client.ports.release(flow.id.Port, flow.target, time.Now())
+}
 
 // await waits for a packet that matches, and fails with ErrBroken on a reset and with
 // ErrDeadline after the wait.
@@ -185,6 +215,7 @@
 		select {
 		case packet := <-flow.inbox:
 			if packet.Flags&FlagRST != 0 {
+				flow.reset = true
 				return packet, ErrBroken
 			}
 			flow.lastReceived.Token = packet.Token
@@ -200,15 +231,23 @@
 // send sends a packet with the newest token to the balancer that the router picks. It
 // sends nothing if no balancer is in service.
 func (flow *Flow) send(flags byte, ack uint32, data []byte) {
+	flow.sequence.Store(flow.seq)
+	flow.acknowledged.Store(ack)
+	if balancer, found := flow.transmit(flow.lastReceived.Token, flags, flow.seq, ack, data); found && !slices.Contains(flow.balancers, balancer) {
+		flow.balancers = append(flow.balancers, balancer)
+	}
+}
+
+// transmit sends a packet and returns the balancer that the router picked, if there was one.
+func (flow *Flow) transmit(token uint32, flags byte, seq, ack uint32, data []byte) (netip.AddrPort, bool) {
 	packet := Packet{
-		Token: flow.lastReceived.Token, Flags: flags, Seq: flow.seq, Ack: ack, Data: data,
-		Source: flow.client.address.Addr().As4(), SourcePort: flow.port,
+		Token: token, Flags: flags, Seq: seq, Ack: ack, Data: data,
+		Source: flow.client.address.Addr().As4(), SourcePort: flow.id.Port,
 		Destination: flow.target.Addr().As4(), DestinationPort: flow.target.Port(),
 	}
-	if balancer, found := flow.client.router.Pick(packet); found {
-		if !slices.Contains(flow.balancers, balancer) {
-			flow.balancers = append(flow.balancers, balancer)
-		}
+	balancer, found := flow.client.router.Pick(packet)
+	if found {
 		_, _ = flow.client.socket.WriteToUDPAddrPort(packet.Encode(flow.client.checksumKey), balancer)
 	}
+	return balancer, found
 }
--- a/internal/standin/echonet/packet.go
+++ b/internal/standin/echonet/packet.go
@@ -99,5 +99,11 @@
 }
 
 // nextSeq returns the sequence number after the packet's data. A packet without data
-// counts as one byte.
-func (packet Packet) nextSeq() uint32 { return packet.Seq + uint32(max(1, len(packet.Data))) }
+// counts as one byte, and so does the end of a flow.
+func (packet Packet) nextSeq() uint32 {
+	next := packet.Seq + uint32(max(1, len(packet.Data)))
+	if packet.Flags&FlagFIN != 0 && len(packet.Data) > 0 {
+		next++
+	}
+	return next
+}
--- a/internal/standin/echonet/requests.go
+++ b/internal/standin/echonet/requests.go
@@ -33,8 +33,8 @@
 	// ran, by its body.
 	latest     map[flowKey]*exchange
 	executions map[string]int
-	// openedPorts is the set of client ports from which flows were opened.
-	openedPorts map[uint16]bool
+	// opened is the set of flows that were opened.
+	opened map[FlowID]bool
 }
 
 // exchange is a request and its response, which is nil until the request has finished or
@@ -48,7 +48,7 @@
 const shedPrefix = "shed:"
 
 func newRequestState() requestState {
-	return requestState{latest: make(map[flowKey]*exchange), executions: make(map[string]int), openedPorts: make(map[uint16]bool)}
+	return requestState{latest: make(map[flowKey]*exchange), executions: make(map[string]int), opened: make(map[FlowID]bool)}
 }
 
 // SetLoadModel sets how the back end processes requests. All slots are free afterwards.
@@ -58,12 +58,12 @@
 	backend.requestState.load, backend.requestState.slotFreeAt = load, make([]time.Time, load.Slots)
 }
 
-// Executions returns how often each request has run, by its body, and the set of client
-// ports from which flows were opened.
-func (backend *Backend) Executions() (executions map[string]int, openedPorts map[uint16]bool) {
+// Executions returns how often each request has run, by its body, and the set of flows that were
+// opened.
+func (backend *Backend) Executions() (executions map[string]int, opened map[FlowID]bool) {
 	backend.mutex.Lock()
 	defer backend.mutex.Unlock()
-	return maps.Clone(backend.requestState.executions), maps.Clone(backend.requestState.openedPorts)
+	return maps.Clone(backend.requestState.executions), maps.Clone(backend.requestState.opened)
 }
 
 // handleRequest processes a request or a retransmission of one. A retransmission of a
@@ -79,7 +79,19 @@
 		backend.startRequest(key, packet, current)
 	}
 	// As long as there is no response, this is only an acknowledgement.
-	backend.send(packet.reply(FlagACK, packet.Ack, packet.Seq+uint32(len(packet.Data)), current.response))
+	backend.respond(packet, current.response)
+}
+
+// ClosePrefix begins the body of a request after whose response the back end closes the flow.
+const ClosePrefix = "close-"
+
+// respond sends the response to a request, or only acknowledges it if there is none yet.
+func (backend *Backend) respond(request Packet, response []byte) {
+	flags := byte(FlagACK)
+	if len(response) > 0 && strings.HasPrefix(string(request.Data), ClosePrefix) {
+		flags |= FlagFIN
+	}
+	backend.send(request.reply(flags, request.Ack, request.Seq+uint32(len(request.Data)), response))
 }
 
 // startRequest runs a request, queues it, or sheds it.
@@ -104,8 +116,8 @@
 		defer backend.mutex.Unlock()
 		backend.requestState.pending--
 		started.response = response
-		if _, known := backend.flows[key]; known {
-			backend.send(packet.reply(FlagACK, packet.Ack, packet.Seq+uint32(len(packet.Data)), response))
+		if backend.requestState.latest[key] == started {
+			backend.respond(packet, response)
 		}
 	})
 }
--- a/internal/tokenroute/reusedproperty_test.go
+++ b/internal/tokenroute/reusedproperty_test.go
@@ -42,7 +42,7 @@
 	any, syn, opener bool
 	// numbers is set once a packet has passed by which balancers know the numbers of both ends.
 	numbers bool
-	// mistaken is set while a late packet of the flow before it was taken for that of a later one.
+	// mistaken is set while the balancer takes a late packet of an earlier flow for that of a later one.
 	mistaken bool
 	// ended is set once the end of the flow has passed, and former if the flow before it with the same
 	// key was known when the first packet passed.
@@ -161,6 +161,7 @@
 	seen := &f.seen[balancer]
 	if former := w.former[f.port]; !seen.any && former != nil {
 		before := former.seen[balancer]
+		seen.mistaken = before.mistaken
 		seen.former = before.numbers && !before.ended && w.now-before.lastAt < propertyCached
 	}
 	return seen
--- a/test/e2e/callers_test.go
+++ b/test/e2e/callers_test.go
@@ -19,7 +19,9 @@
 		flow, server, err := soak.openFlow(name, fmt.Sprintf("%d-%d", number, round))
 		if err == nil {
 			soak.sendRequests(ctx, flow, name, server, fmt.Sprintf("%d-%d", number, round))
-		} else {
+		}
+		flow.Close()
+		if err != nil {
 			time.Sleep(retryPause)
 		}
 	}
@@ -72,17 +74,19 @@
 	return flow, entry.server, err
 }
 
-// sendRequests sends requests on an open flow until one fails or all are sent, and closes
-// the flow.
+// sendRequests sends requests on an open flow until one fails or all are sent. The back end of every
+// other flow closes it after the last response, before the client does.
 func (soak *soak) sendRequests(ctx context.Context, flow *echonet.Flow, name, server, body string) {
 	for request := range requestsPerFlow {
 		time.Sleep(requestInterval)
-		err := soak.sendRequest(flow, attempt{route: name, previousServer: server, body: fmt.Sprintf("%s-%d", body, request)})
-		if err != nil || ctx.Err() != nil {
-			break
+		next := fmt.Sprintf("%s-%d", body, request)
+		if request == requestsPerFlow-1 && flow.ID().Sequence%2 == 0 {
+			next = echonet.ClosePrefix + next
+		}
+		if err := soak.sendRequest(flow, attempt{route: name, previousServer: server, body: next}); err != nil || ctx.Err() != nil {
+			return
 		}
 	}
-	flow.Close()
 }
 
 // burst sends the desk more requests than its back ends can process: one request per flow,
@@ -135,8 +139,8 @@
 
 // recordAttempt completes an attempt with its end and its outcome and adds it to the history.
 func (soak *soak) recordAttempt(entry attempt, flow *echonet.Flow, err error) {
-	entry.ended, entry.result, entry.port = time.Now(), outcomeOf(err), flow.Port()
-	entry.flow = fmt.Sprintf("%s:%d-%s:443", soak.ip(3, 1), entry.port, soakTargets[entry.route])
+	entry.ended, entry.result, entry.id = time.Now(), outcomeOf(err), flow.ID()
+	entry.flow = fmt.Sprintf("%s:%d-%s:443", soak.ip(3, 1), entry.id.Port, soakTargets[entry.route])
 	for _, node := range flow.TakeBalancers() {
 		entry.via = append(entry.via, balancerAt(node))
 	}
--- a/test/e2e/checker_histories_test.go
+++ b/test/e2e/checker_histories_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/indigobarrow/indigobarrow/internal/standin/echonet"
 )
 
 // builder builds artificial histories whose times are relative to start.
@@ -147,14 +149,14 @@
 	refused := answeredOpening(10, "")
 	refused.result = outcomeRefused
 	require.Len(t, build(refused).check(), 1, "refusal")
-	refused.port = 7
+	refused.id = echonet.FlowID{Port: 7}
 	excusedRefusal := build(refused)
 	excusedRefusal.overloadedRoutes = map[string]bool{"lending": true}
 	excusedRefusal.bursts = []span{{from: timeAt(7), until: timeAt(9)}}
 	require.Empty(t, excusedRefusal.check(), "refused in a burst")
-	excusedRefusal.openedPorts = map[uint16]bool{7: true}
+	excusedRefusal.opened = map[echonet.FlowID]bool{{Port: 7}: true}
 	require.Len(t, excusedRefusal.check(), 1, "refused, but it reached a back end")
-	excusedRefusal.openedPorts = nil
+	excusedRefusal.opened = nil
 	excusedRefusal.bursts[0].until = timeAt(7.9)
 	require.Len(t, excusedRefusal.check(), 2, "refused after a burst: violates checkRefusal and checkBurstRecovery")
 
@@ -212,7 +214,7 @@
 	timeAt := builder.timeAt
 	balancerDisturbance := []disturbance{{span: span{from: timeAt(7), until: timeAt(8)}, balancers: []int{2}}}
 	refused := builder.answeredOpening(10, "")
-	refused.result, refused.port, refused.via = outcomeRefused, 7, []int{2}
+	refused.result, refused.id, refused.via = outcomeRefused, echonet.FlowID{Port: 7}, []int{2}
 	refusal := builder.build(refused)
 	require.Equal(t, []string{"a new flow was refused without a disturbance"}, refusal.violationsOf(refused))
 
@@ -244,7 +246,7 @@
 	}
 	for name, rule := range rules {
 		tested := builder.build(refused)
-		tested.openedPorts = map[uint16]bool{7: true}
+		tested.opened = map[echonet.FlowID]bool{{Port: 7}: true}
 		if name == "burst" {
 			tested.overloadedRoutes = map[string]bool{"lending": true}
 		}
--- a/test/e2e/checker_test.go
+++ b/test/e2e/checker_test.go
@@ -131,7 +131,7 @@
 // checkRefusedUndelivered checks that a first packet which undisturbed balancers refused has
 // reached no back end. It doesn't apply near the crash of a back end.
 func (history *history) checkRefusedUndelivered(attempt attempt) string {
-	if attempt.isOpening && attempt.result == outcomeRefused && history.openedPorts[attempt.port] && !history.nearCrash(attempt) &&
+	if attempt.isOpening && attempt.result == outcomeRefused && history.opened[attempt.id] && !history.nearCrash(attempt) &&
 		history.undisturbed(attempt.at, attempt.ended, attempt.via) {
 		return "a refused first packet reached a back end"
 	}
--- a/test/e2e/history_test.go
+++ b/test/e2e/history_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/indigobarrow/indigobarrow/internal/standin/echonet"
 )
 
 // outcome is the result of opening a flow or of a request on an open flow.
@@ -28,9 +30,8 @@
 	// server is "pool/id" of the back end that answered, previousServer that of the back end
 	// which had answered on the flow before.
 	server, previousServer string
-	// port is the flow's client port, flow its name in the logs, and body the content of
-	// the request.
-	port uint16
+	// id identifies the flow, flow is its name in the logs, and body the content of the request.
+	id   echonet.FlowID
 	flow string
 	body string
 	// via are the indexes of the balancers that the packets were sent to.
@@ -57,10 +58,10 @@
 	// ends can process.
 	bursts           []span
 	overloadedRoutes map[string]bool
-	// runs counts how often each request was run, by its body. openedPorts are the client
-	// ports from which a back end received first packets.
-	runs        map[string]int
-	openedPorts map[uint16]bool
+	// runs counts how often each request was run, by its body. opened are the flows of which a
+	// back end received first packets.
+	runs   map[string]int
+	opened map[echonet.FlowID]bool
 	// stalls are the times at which the process that plays the store, the back ends and the
 	// clients did not run.
 	stalls []span
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -79,9 +79,10 @@
 	reservations reservations
 	refusals     refusals
 	stalls       stalls
-	// keepingCallers is the number of callers that keep their flows.
-	keepingCallers int
-	bursting       atomic.Bool
+	// keepingCallers is the number of callers that keep their flows, and reusingCallers the number of
+	// those that use ports again as often as they can.
+	keepingCallers, reusingCallers int
+	bursting                       atomic.Bool
 	// stopPending is set while a planned stop waits until it may begin. stopCount counts the
 	// planned stops that were carried out.
 	stopPending atomic.Bool
@@ -136,6 +137,9 @@
 	for number := range soak.keepingCallers {
 		callers.Go(func() { soak.runKeepingCaller(ctx, number) })
 	}
+	for number := range soak.reusingCallers {
+		callers.Go(func() { soak.runReusingCaller(ctx, number) })
+	}
 	for index, next := range soak.plan {
 		time.Sleep(time.Until(soak.startedAt.Add(next.at)))
 		soak.eventIndex = index
@@ -219,14 +223,14 @@
 // collectBackendRecords adds the executions and first packets that the back ends recorded to
 // the history.
 func (soak *soak) collectBackendRecords() {
-	soak.history.runs, soak.history.openedPorts = make(map[string]int), make(map[uint16]bool)
+	soak.history.runs, soak.history.opened = make(map[string]int), make(map[echonet.FlowID]bool)
 	for _, backend := range soak.backends {
-		runs, openedPorts := backend.Executions()
+		runs, opened := backend.Executions()
 		for body, count := range runs {
 			soak.history.runs[body] += count
 		}
-		for port := range openedPorts {
-			soak.history.openedPorts[port] = true
+		for id := range opened {
+			soak.history.opened[id] = true
 		}
 	}
 }
