Logs: each unreadable entry of the store is named, not one a second

Each key is now logged once a minute at most, five lines a second; keys beyond that come when they are read again. TestEntryLoggerNamesEachKey fails with the logger before, which names the first of twelve keys only.

--- a/cmd/balancer/entrylog.go
+++ b/cmd/balancer/entrylog.go
@@ -4,32 +4,76 @@
 	"log/slog"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/indigobarrow/indigobarrow/platform"
 )
 
-// entryLogInterval is the minimum time between two log lines about unreadable entries.
-// The store is read every second or two, and without a limit a store with many such
-// entries would fill the log.
-const entryLogInterval = time.Second
+const (
+	// entryLinesPerSecond limits the log lines about unreadable entries. The store is read every
+	// second or two, and without a limit a store with many such entries would fill the log.
+	entryLinesPerSecond = 5
+	// entryRepeatInterval is the minimum time between two lines about one key.
+	entryRepeatInterval = time.Minute
+	// maxLoggedKeys bounds the keys that are remembered as logged.
+	maxLoggedKeys = 4096
+)
 
-// entryLogger logs entries of the store that cannot be read, at most one line in each
-// entryLogInterval. It is safe for use by many goroutines.
+// entryLogger logs entries of the store that cannot be read: each key once in entryRepeatInterval,
+// and at most entryLinesPerSecond lines. A key that is left out is logged when it is read again. It
+// is safe for use by many goroutines.
 type entryLogger struct {
-	logger     *slog.Logger
-	mutex      sync.Mutex
-	nextLine   time.Time
+	logger *slog.Logger
+	mutex  sync.Mutex
+	// logged is when each key was last logged.
+	logged map[string]time.Time
+	// second is the start of the current second, and lines are those written in it.
+	second time.Time
+	lines  int
+	// suppressed counts the entries that were left out since the last line.
 	suppressed int
 }
 
 // warn logs the error of an unreadable entry, or counts it as suppressed, to be
 // reported with the next line.
-func (l *entryLogger) warn(err error) {
+func (l *entryLogger) warn(err error) { l.warnAt(err, time.Now()) }
+
+func (l *entryLogger) warnAt(err error, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	now := time.Now()
-	if now.Before(l.nextLine) {
+	if !l.allow(keyOf(err), now) {
 		l.suppressed++
 		return
 	}
 	l.logger.Warn("Store: entry not understood, it names no back end to use.", "error", err, "left_out", l.suppressed)
-	l.nextLine, l.suppressed = now.Add(entryLogInterval), 0
+	l.suppressed = 0
+}
+
+// allow reports whether a line about a key may be written now, and records that it is.
+func (l *entryLogger) allow(key string, now time.Time) bool {
+	if loggedAt, found := l.logged[key]; found && now.Sub(loggedAt) < entryRepeatInterval {
+		return false
+	}
+	if now.Sub(l.second) >= time.Second {
+		l.second, l.lines = now, 0
+	}
+	if l.lines >= entryLinesPerSecond {
+		return false
+	}
+	l.lines++
+	if l.logged == nil || len(l.logged) >= maxLoggedKeys {
+		l.logged = make(map[string]time.Time)
+	}
+	l.logged[key] = now
+	return true
+}
+
+// keyOf returns the key that an error names, or its text if it names none.
+func keyOf(err error) string {
+	var unreadable *platform.UnreadableEntryError
+	if errors.As(err, &unreadable) {
+		return unreadable.Key
+	}
+	return err.Error()
 }
--- a/cmd/balancer/entrylog_test.go
+++ b/cmd/balancer/entrylog_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bytes"
+	"fmt"
 	"log/slog"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
+
+	"github.com/indigobarrow/indigobarrow/platform"
 )
 
 func TestEntryLoggerLimitsRate(t *testing.T) {
@@ -20,3 +24,28 @@
 	require.Contains(t, written.String(), "zone is missing")
 	require.Equal(t, 999, log.suppressed)
 }
+
+// An operator learns of each odd entry, however often others are read, and of none too often.
+func TestEntryLoggerNamesEachKey(t *testing.T) {
+	var written bytes.Buffer
+	log := &entryLogger{logger: slog.New(slog.NewTextHandler(&written, nil))}
+	now := time.Now()
+	warnAll := func(keys, seconds int) {
+		for range seconds {
+			for number := range keys {
+				key := fmt.Sprintf("servers/i-%d", number)
+				log.warnAt(&platform.UnreadableEntryError{Key: key, Cause: errors.New("zone is missing")}, now)
+			}
+			now = now.Add(time.Second)
+		}
+	}
+	warnAll(12, 3)
+	for number := range 12 {
+		require.Equal(t, 1, strings.Count(written.String(), fmt.Sprintf("i-%d:", number)), "key %d", number)
+	}
+	warnAll(12, 30)
+	require.Equal(t, 12, strings.Count(written.String(), "\n"), "no key again within a minute")
+	warnAll(12, 60)
+	require.Equal(t, 24, strings.Count(written.String(), "\n"))
+	require.Contains(t, written.String(), "left_out=")
+}
