Token routing: a back end with number 0 gets no packets, whoever passed its entry on

The decoder now refuses such an entry, but balancers of an earlier version pass it on to those that follow them. Found by FuzzReceivedEntries, which applies what another balancer may send and routes by it, within a second.

--- a/internal/tokenroute/builder.go
+++ b/internal/tokenroute/builder.go
@@ -120,6 +120,9 @@
 		b.tokens.remove(previous)
 	}
 	added := updated.clone()
+	if added.Number == anyBackend {
+		return added
+	}
 	for _, sharing := range b.tokens.add(added) {
 		if sharing != added && sharing.Pool == added.Pool {
 			b.sharedTokenPools[added.Pool] = true
@@ -161,8 +164,15 @@
 	}
 }
 
+// anyBackend is the number that stands for any back end in forwarded packets. A back end with this
+// number gets no packets, since they could reach whoever has its address.
+const anyBackend = 0
+
 // ownsToken reports whether the back end is the first one of its pool with its token.
 func (b *builder) ownsToken(backend *Backend) bool {
+	if backend.Number == anyBackend {
+		return false
+	}
 	if !b.sharedTokenPools[backend.Pool] {
 		return true
 	}
