--- a/Makefile
+++ b/Makefile
@@ -60,6 +60,8 @@
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 60s ./internal/frame/
 	$(GO) test -run "^$$" -fuzz FuzzDecode -fuzztime 30s ./platform/
 	$(GO) test -run "^$$" -fuzz FuzzDocuments -fuzztime 30s ./platform/
+	$(GO) test -run "^$$" -fuzz FuzzInvalidEntryBesideValidOnes -fuzztime 30s ./platform/
+	$(GO) test -run "^$$" -fuzz FuzzReceivedEntries -fuzztime 30s ./internal/tokenroute/
 	$(GO) test -run "^$$" -fuzz FuzzBalancerSettings -fuzztime 30s ./internal/settings/
 
 # lab runs the failure scenarios at both users' sizes.
--- a/cmd/balancer/entrylog.go
+++ b/cmd/balancer/entrylog.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	// entryLinesPerSecond limits the log lines about unreadable entries. The store is read every
-	// second or two, and without a limit a store with many such entries would fill the log.
+	// entryLinesPerSecond limits the log lines about unreadable entries, after the first
+	// maxEntryLines. The store is read every second or two, and without a limit a store with many such
+	// entries would fill the log.
 	entryLinesPerSecond = 5
+	maxEntryLines       = 100
 	// entryRepeatInterval is the minimum time between two lines about one key.
 	entryRepeatInterval = time.Minute
 	// maxLoggedKeys bounds the keys that are remembered as logged.
@@ -21,16 +23,16 @@
 )
 
 // entryLogger logs entries of the store that cannot be read: each key once in entryRepeatInterval,
-// and at most entryLinesPerSecond lines. A key that is left out is logged when it is read again. It
+// and with a limited number of lines. A key that is left out is logged when it is read again. It
 // is safe for use by many goroutines.
 type entryLogger struct {
 	logger *slog.Logger
 	mutex  sync.Mutex
 	// logged is when each key was last logged.
 	logged map[string]time.Time
-	// second is the start of the current second, and lines are those written in it.
-	second time.Time
-	lines  int
+	// lines is by how many lines entryLinesPerSecond was exceeded up to loggedAt, the latest line.
+	lines    float64
+	loggedAt time.Time
 	// suppressed counts the entries that were left out since the last line.
 	suppressed int
 }
@@ -52,16 +54,14 @@
 
 // allow reports whether a line about a key may be written now, and records that it is.
 func (l *entryLogger) allow(key string, now time.Time) bool {
-	if loggedAt, found := l.logged[key]; found && now.Sub(loggedAt) < entryRepeatInterval {
+	if at, found := l.logged[key]; found && now.Sub(at) < entryRepeatInterval {
 		return false
 	}
-	if now.Sub(l.second) >= time.Second {
-		l.second, l.lines = now, 0
-	}
-	if l.lines >= entryLinesPerSecond {
+	lines := max(0, l.lines-entryLinesPerSecond*now.Sub(l.loggedAt).Seconds())
+	if lines >= maxEntryLines {
 		return false
 	}
-	l.lines++
+	l.lines, l.loggedAt = lines+1, now
 	if l.logged == nil || len(l.logged) >= maxLoggedKeys {
 		l.logged = make(map[string]time.Time)
 	}
--- a/cmd/balancer/entrylog_test.go
+++ b/cmd/balancer/entrylog_test.go
@@ -47,5 +47,10 @@
 	require.Equal(t, 12, strings.Count(written.String(), "\n"), "no key again within a minute")
 	warnAll(12, 60)
 	require.Equal(t, 24, strings.Count(written.String(), "\n"))
-	require.Contains(t, written.String(), "left_out=")
+	written.Reset()
+	warnAll(10_000, 1)
+	require.Equal(t, maxEntryLines, strings.Count(written.String(), "\n"))
+	warnAll(10_000, 1)
+	require.Equal(t, maxEntryLines+entryLinesPerSecond, strings.Count(written.String(), "\n"), "others are named later")
+	require.Regexp(t, "left_out=[1-9]", written.String())
 }
--- a/test/e2e/balancer_test.go
+++ b/test/e2e/balancer_test.go
@@ -169,6 +169,9 @@
 	return site.startBalancerAt(zone, site.ip(0, 1)+":8169")
 }
 
+// metricsAddress is the address of the metrics of a balancer.
+func metricsAddress(host string) string { return host + ":9464" }
+
 // startBalancerAt starts a balancer that reaches the store at the given address.
 func (site *site) startBalancerAt(zone, store string, arguments ...string) *process {
 	site.started++
@@ -178,8 +181,8 @@
 	if len(site.seeds) < 3 {
 		site.seeds = append(site.seeds, peer)
 	}
-	content := fmt.Sprintf("name: %s\nzone: %s\ndata_address: %s:%d\nreadiness_address: %s:8167\npeer_address: %s\nstore_address: %s\nseeds: %s\nlog_level: debug\n",
-		name, zone, host, clientPort, host, peer, store, strings.Join(site.seeds, ","))
+	content := fmt.Sprintf("name: %s\nzone: %s\ndata_address: %s:%d\nreadiness_address: %s:8167\npeer_address: %s\nmetrics_address: %s\nstore_address: %s\nseeds: %s\nlog_level: debug\n",
+		name, zone, host, clientPort, host, peer, metricsAddress(host), store, strings.Join(site.seeds, ","))
 	path := filepath.Join(site.dir, name+".yaml")
 	require.NoError(site.t, os.WriteFile(path, []byte(content), 0o600))
 	started := site.start(name, "balancer", append([]string{"--settings", path}, arguments...)...)
