--- a/test/e2e/plan_test.go
+++ b/test/e2e/plan_test.go
@@ -157,7 +157,9 @@
 	steps := make(map[string]bool)
 	refusals := makeRefusalPlan(7, 10*time.Minute)
 	require.Equal(t, refusals, makeRefusalPlan(7, 10*time.Minute))
-	for _, next := range slices.Concat(generated, refusals) {
+	reusedPorts := makeReusedPortsPlan(7, 10*time.Minute)
+	require.Equal(t, reusedPorts, makeReusedPortsPlan(7, 10*time.Minute))
+	for _, next := range slices.Concat(generated, refusals, reusedPorts) {
 		steps[next.step] = true
 	}
 	require.Len(t, steps, len(soakSteps))
