Token routing: an ended flow is remembered, so that its last packets are told from the next flow's

What callers could see: the last acknowledgement of a flow comes after the SYN of the next one of its port, as when a client uses the port again at once. The state of the ended flow was gone, so the packet was taken for that of a later flow and replaced what was known of the new one: its opener, which keeps it if two back ends answer, and all that is measured of it, for as long as it lasted.

An ended flow now stays cached, uncounted, for the 3 to 6 s of any other. Where a late packet of a flow that has not passed here is taken for a later one all the same, the flow that goes on is followed again with its next packet.

--- a/internal/flow/numbers.go
+++ b/internal/flow/numbers.go
@@ -19,14 +19,15 @@
 // a flow. The zero value is that of a flow of which no packet was seen.
 //
 // A SYN belongs to the flow if it is a copy of the flow's SYN. If that was not seen, its number must
-// lie before all others within MaxDistance. Any other packet belongs to it
-// if both its sequence number and its acknowledgement are within MaxDistance of those before, and
-// it does not lie beyond the end of the flow; after the SYN alone, if its sequence number follows that
-// of the SYN within MaxDistance. Two flows are taken for one if both numbers of one
-// are that close to those of the other, and a flow is taken for two if its numbers move further
-// while its packets pass elsewhere. The initial numbers of the two ends are independent, so that
-// clients that derive theirs from a clock (RFC 9293, section 3.4.1) are told apart by those of the
-// back ends.
+// lie before all others within MaxDistance. Any other packet belongs to the flow if it does not lie
+// beyond the end, and both its sequence number and its acknowledgement are within MaxDistance of
+// those before. After the SYN alone, its sequence number must follow that of the SYN within
+// MaxDistance.
+//
+// Two flows are taken for one if both numbers of one are that close to those of the other, and a flow
+// is taken for two if its numbers move further while its packets pass elsewhere. The initial numbers
+// of the two ends are independent, so that clients that derive theirs from a clock (RFC 9293, section
+// 3.4.1) are told apart by those of the back ends.
 type Numbers struct {
 	// syn is the sequence number of the SYN, if hasSYN is set.
 	syn    uint32
@@ -58,6 +59,12 @@
 	return segment.Sequence-n.syn <= MaxDistance
 }
 
+// Advances reports whether a packet that belongs to the flow moves it on. A late copy does not.
+func (n *Numbers) Advances(segment Segment) bool {
+	return !segment.SYN && !n.hasEnd &&
+		(!n.hasData || after(segment.Sequence+segment.Length, n.sequence) || after(segment.Acknowledged, n.acknowledged))
+}
+
 // Add adds a packet that belongs to the flow.
 func (n *Numbers) Add(segment Segment) {
 	if segment.SYN {
--- a/internal/tokenroute/decide.go
+++ b/internal/tokenroute/decide.go
@@ -165,24 +165,24 @@
 		state = f.flowCache.add(packet.Key)
 		state.numbers.Add(packet.segment())
 	}
+	if state != nil && state.numbers.Ended() {
+		// An acknowledgement of the back end's own end still shows that it lives.
+		return packet.Length == 0 && f.failureDetector.Observe(packet, nil, backend, now)
+	}
 	if state != nil {
 		state.attach(f.loadFor(backend), now)
 	}
 	return f.failureDetector.Observe(packet, state, backend, now)
 }
 
-// close processes the packet that ends a flow. If the flow was sent to more than one back end, the
-// one that opened it is still remembered, for packets that follow.
+// close processes the packet that ends a flow. The flow is still remembered, so that packets of it
+// that follow are told from those of the next flow with the same key.
 func (f *Flows) close(packet Packet, state *flowState, now time.Time) {
 	if state == nil {
 		return
 	}
 	state.countResponseLength(packet.Key.Address(), packet.Acknowledged)
-	if state.opening.count > 1 {
-		state.detach(now)
-		return
-	}
-	f.flowCache.remove(packet.Key, state, now)
+	state.detach(now)
 }
 
 func (f *Flows) decideFirst(route *Route, packet Packet, now time.Time) Decision {
--- a/internal/tokenroute/flowcache.go
+++ b/internal/tokenroute/flowcache.go
@@ -190,19 +190,30 @@
 func (c *flowCache) match(packet Packet, now time.Time) (state *flowState, former bool) {
 	segment := packet.segment()
 	state = c.find(packet.Key)
-	switch {
-	case state == nil:
+	if state == nil {
 		return c.resumeIdle(packet), false
-	case state.numbers.Contains(segment):
-	case !state.former.IsZero() && state.former.Contains(segment):
-		return nil, true
-	default:
-		state = c.replace(packet.Key, state, now)
+	}
+	if !state.numbers.Contains(segment) {
+		before := state
+		if !before.isFormer(segment) {
+			state = c.replace(packet.Key, before, now)
+		} else if before.opening.count > 0 || !before.former.Advances(segment) {
+			return nil, true
+		} else {
+			// A late packet of an earlier flow was taken for the later one.
+			state = c.replace(packet.Key, before, now)
+			state.numbers = before.former
+		}
 	}
 	state.numbers.Add(segment)
 	return state, false
 }
 
+// isFormer reports whether a packet belongs to the flow before this one with the same key.
+func (s *flowState) isFormer(segment flow.Segment) bool {
+	return !s.former.IsZero() && s.former.Contains(segment)
+}
+
 // matchFirst returns the state of the flow that a first packet opens. If the packet is not a copy of
 // the one that opened the cached flow, the state begins anew.
 func (c *flowCache) matchFirst(packet Packet, now time.Time) *flowState {
@@ -222,8 +233,7 @@
 // cached one with the same key, whose own first packet has passed.
 func (c *flowCache) opensFormer(packet Packet) bool {
 	state, segment := c.find(packet.Key), packet.segment()
-	return state != nil && state.opening.count > 0 && !state.numbers.Contains(segment) &&
-		!state.former.IsZero() && state.former.Contains(segment)
+	return state != nil && state.opening.count > 0 && !state.numbers.Contains(segment) && state.isFormer(segment)
 }
 
 // replace returns a new state for a flow that came after the cached one with the same key.
--- a/internal/tokenroute/reusedports_test.go
+++ b/internal/tokenroute/reusedports_test.go
@@ -353,3 +353,36 @@
 	flows.Decide(table, firstPacket(2), at(400))
 	require.Equal(t, uint64(1), flows.Unanswered.Load(), "the back end tried here opened nothing")
 }
+
+// The last acknowledgement of a flow may come after the SYN of the next one of its port. It doesn't
+// end what is known of that one.
+func TestLastAcknowledgementOfEndedFlowLeavesNextOne(t *testing.T) {
+	table, flows := manyBackends(5), NewFlows(mechanism.Set{})
+	earlier, later := twoUses(true)
+	first := earlier.openThrough(flows, table, 1)[0]
+	flows.Decide(table, earlier.request(first.Token), at(10))
+	flows.Decide(table, earlier.end(first.Token), at(20))
+	require.Zero(t, flows.loadFor(first).flows)
+	opener := flows.Decide(table, later.syn(0), at(30)).Backend
+	last := earlier.acknowledgement(first.Token)
+	last.Sequence, last.Acknowledged = last.Sequence+1, last.Acknowledged+1
+	require.Equal(t, first, flows.Decide(table, last, at(31)).Backend)
+	other := otherThan(table, opener)
+	flows.Decide(table, later.acknowledgement(opener.Token), at(32))
+	require.Equal(t, opener, flows.Decide(table, later.request(other.Token), at(33)).Backend)
+	require.Equal(t, 1, flows.loadFor(opener).inFlightRequests)
+}
+
+// A late packet of a flow that did not pass here before may be taken for that of a later flow. The
+// flow that goes on is followed again.
+func TestFlowIsFollowedAgainAfterLatePacketOfUnknownFlow(t *testing.T) {
+	table, flows := manyBackends(5), NewFlows(mechanism.Set{})
+	earlier, later := twoUses(false)
+	living := table.tokens.backends(3)[0]
+	flows.Decide(table, later.request(living.Token), at(0))
+	flows.Decide(table, earlier.request(earlierToken), at(10))
+	flows.Decide(table, later.answered(living.Token), at(20))
+	flows.Decide(table, later.request(living.Token), at(30))
+	require.Equal(t, 1, flows.loadFor(living).inFlightRequests)
+	require.Zero(t, flows.loadFor(table.tokens.backends(earlierToken)[0]).flows)
+}
